--- /dev/null
+++ b/juniperward/config.py
@@ -0,0 +1,128 @@
+"""The environment and the JSON configuration, read once into one typed value."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from juniperward.messages import Worker
+from nickelscale.benchlink import settings_from
+from nickelscale.interface import Phase, Settings
+
+PHASES = {"Ready": Phase.READY, "Terminating": Phase.DRAINING, "Gone": Phase.GONE}
+
+
+class ConfigError(Exception):
+    """The configuration cannot be used; the text says why, in one line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Names:
+    """The settings' names, by which clients and the registry speak; their places are the module's numbers."""
+
+    classes: tuple[str, ...]
+    tenants: tuple[str, ...]
+    kinds: tuple[str, ...]
+    zones: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class News:
+    """The registry's list, whole or changes."""
+
+    version: int
+    full: bool
+    workers: tuple[Worker, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """All that a forwarder is told at its start."""
+
+    name: str
+    listen: tuple[str, int]
+    registry: tuple[str, int]
+    state: Path
+    seed: int
+    sockets: int
+    disk_bytes: int
+    settings: Settings
+    names: Names
+    known: News
+
+
+def address(text: str) -> tuple[str, int]:
+    """Split `host:port`."""
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"not an address of the form host:port: {text!r}")
+    return host.strip("[]"), int(port)
+
+
+def read_news(value: Any, names: Names) -> News:
+    """Decode one object of the registry's list; entries that make no sense fail the whole."""
+    workers = []
+    for entry in value["servers"]:
+        host, port = address(entry["addr"])
+        kind, zone = entry.get("kind"), entry.get("zone")
+        workers.append(
+            Worker(
+                id=str(entry["id"]),
+                host=host,
+                port=port,
+                destination=int(entry["cell"]),
+                phase=PHASES[entry["state"]],
+                kind=names.kinds.index(kind) if kind in names.kinds else 0,
+                zone=names.zones.index(zone) if zone in names.zones else 0,
+                weight=float(entry.get("weight") or 0.0),
+            )
+        )
+    return News(int(value["version"]), bool(value["full"]), tuple(workers))
+
+
+def load(environment: Mapping[str, str]) -> Config:
+    """Read everything; raises ConfigError with one plain line."""
+    path = environment.get("ROUTER_CONFIG")
+    if not path:
+        raise ConfigError("ROUTER_CONFIG is not set")
+    try:
+        given = json.loads(Path(path).read_text())
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from error
+    except ValueError as error:
+        raise ConfigError(f"{path}: not JSON: {error}") from error
+    try:
+        return _from_json(given, environment)
+    except KeyError as error:
+        raise ConfigError(f"{path}: {error.args[0]!r} is missing") from error
+    except (ValueError, TypeError, AttributeError) as error:
+        raise ConfigError(f"{path}: {error}") from error
+
+
+def _from_json(given: Any, environment: Mapping[str, str]) -> Config:
+    raw = given["settings"]
+    names = Names(
+        classes=tuple(c["Name"] for c in raw["Services"]),
+        tenants=tuple(t["Name"] for t in raw.get("Tenants") or ()),
+        kinds=tuple(raw.get("Kinds") or ()),
+        zones=tuple(raw.get("FailureDomains") or ()),
+    )
+    limits = given.get("limits") or {}
+    state = Path(environment.get("ROUTER_STATE") or given["state"])
+    if not state.is_dir():
+        raise ValueError(f"ROUTER_STATE: no such folder: {state}")
+    return Config(
+        name=environment.get("ROUTER_NAME") or given["name"],
+        listen=address(environment.get("ROUTER_LISTEN") or given["listen"]),
+        registry=address(environment.get("ROUTER_DISCOVERY") or given["discovery"]),
+        state=state,
+        seed=int(str(given["seed"]), 16),
+        sockets=int(limits.get("sockets", 1024)),
+        disk_bytes=int(float(limits.get("disk_mb", 1)) * 1_000_000),
+        settings=settings_from(raw),
+        names=names,
+        known=read_news(given["known"], names),
+    )
--- /dev/null
+++ b/juniperward/journal.py
@@ -0,0 +1,204 @@
+"""The journal in the folder that lasts: what was taken on, what was tried, what is over.
+
+One record a line: the CRC-32 of the text in hex, a space, a JSON array. A line that does not match its sum is
+left out: a torn tail is the trace of a killed process. Plain writes outlast the process; nothing is synced.
+Times are kept as Unix time in the file and as monotonic time everywhere else.
+"""
+
+from __future__ import annotations
+
+import base64
+import json
+import os
+import zlib
+from pathlib import Path
+from typing import Any
+
+from juniperward.counters import count, log
+from juniperward.messages import Began, Call, Decided, Delegated, Ended, Notice, Over, Record, Restored, Taken
+
+NAME, FRESH = "journal", "journal.new"
+BLOCK = 512  # the disk is counted in whole blocks
+LIVE_PART = 0.3  # part of the disk that messages not yet over may fill; a rewrite doubles it for a moment
+SLACK = 65536  # a file is not rewritten for less than this
+NOTE = 256  # room for one record without a body
+NOTES = 24  # records kept room for with each message: its delegations, their ends, its own end
+
+
+class JournalFull(Exception):
+    """There is no safe room for another message."""
+
+
+def encode(record: Record, to_unix: float) -> bytes:
+    """One line of the journal."""
+    match record:
+        case Taken(call=c, expires=expires):
+            body = base64.b64encode(c.body).decode()
+            row: list[Any] = ["taken", c.id, c.cls, c.tenant, c.destination, c.key, expires + to_unix, body]
+        case Began(id=name, at=at, worker=worker):
+            row = ["began", name, at + to_unix, worker]
+        case Ended(id=name, may_have_run=may):
+            row = ["ended", name, may]
+        case Decided(notice=n):
+            row = ["decided", n.id, n.again]
+        case Over(id=name):
+            row = ["over", name]
+    text = json.dumps(row, separators=(",", ":")).encode()
+    return b"%08x %s\n" % (zlib.crc32(text), text)
+
+
+def decode(line: bytes, to_unix: float) -> Record | None:
+    """The record of one line, or None for one that is damaged."""
+    try:
+        total, text = line.split(b" ", 1)
+        if int(total, 16) != zlib.crc32(text):
+            return None
+        kind, name, *rest = json.loads(text)
+        match kind, rest:
+            case "taken", [cls, tenant, destination, key, expires, body]:
+                call = Call(name, cls, tenant, destination, 0.0, key, base64.b64decode(body))
+                return Taken(call, expires - to_unix)
+            case "began", [at, worker]:
+                return Began(name, at - to_unix, worker)
+            case "ended", [may]:
+                return Ended(name, may)
+            case "decided", [again]:
+                return Decided(Notice(name, again))
+            case "over", []:
+                return Over(name)
+    except (ValueError, TypeError):
+        pass
+    return None
+
+
+class Ledger:
+    """What the records say, put together; `apply` and `records` are each other's inverse."""
+
+    def __init__(self) -> None:
+        self.open: dict[str, Restored] = {}
+
+    def apply(self, record: Record) -> None:
+        match record:
+            case Taken(call=call, expires=expires):
+                self.open[call.id] = Restored(call, expires)
+            case Over(id=name):
+                self.open.pop(name, None)
+            case Decided(notice=notice):
+                if (r := self.open.get(notice.id)) is not None:
+                    self.open[r.call.id] = Restored(r.call, r.expires, r.history, notice)
+            case Began(id=name, at=at, worker=worker):
+                if (r := self.open.get(name)) is not None:
+                    history = (*r.history, Delegated(worker, at))
+                    self.open[name] = Restored(r.call, r.expires, history, r.notice)
+            case Ended(id=name, may_have_run=may):
+                if (r := self.open.get(name)) is not None and r.history:
+                    last = r.history[-1]
+                    history = (*r.history[:-1], Delegated(last.worker, last.at, may))
+                    self.open[name] = Restored(r.call, r.expires, history, r.notice)
+
+    def records(self) -> list[Record]:
+        found: list[Record] = []
+        for r in self.open.values():
+            found.append(Taken(r.call, r.expires))
+            for d in r.history:
+                found.append(Began(r.call.id, d.at, d.worker))
+                if not d.may_have_run:
+                    found.append(Ended(r.call.id, False))
+            if r.notice is not None:
+                found.append(Decided(r.notice))
+        return found
+
+
+class Journal:
+    """The file and what it holds; used by one thread only."""
+
+    def __init__(self, folder: Path, disk_bytes: int, to_unix: float) -> None:
+        self.path, self.fresh = folder / NAME, folder / FRESH
+        self.disk = disk_bytes - 4 * BLOCK
+        self.to_unix = to_unix
+        self.ledger = Ledger()
+        self.live: dict[str, int] = {}  # room kept for each message that is not over
+        self.live_bytes = 0
+        self.size = 0
+        self.file = -1
+        self._replay()
+        self._rewrite()
+
+    def restored(self) -> tuple[Restored, ...]:
+        """The messages that are not over, in the order taken."""
+        return tuple(self.ledger.open.values())
+
+    def append(self, record: Record) -> None:
+        """Write a record; raises JournalFull for a message that there is no safe room for, or OSError."""
+        line = encode(record, self.to_unix)
+        if isinstance(record, Taken):
+            if self.live_bytes + len(line) + NOTE * NOTES > LIVE_PART * self.disk:
+                raise JournalFull
+        elif self._name(record) not in self.live:
+            return  # of a message that is over already
+        if self.size + len(line) > max(SLACK, 2 * self.live_bytes):
+            self._rewrite()
+        self._write(self.file, line)
+        self.size += len(line)
+        self._note(record, len(line))
+        count("journal_records")
+
+    def close(self) -> None:
+        """Let go of the file."""
+        os.close(self.file)
+
+    @staticmethod
+    def _name(record: Record) -> str:
+        match record:
+            case Taken(call=call):
+                return call.id
+            case Decided(notice=notice):
+                return notice.id
+            case _:
+                return record.id
+
+    def _note(self, record: Record, length: int) -> None:
+        self.ledger.apply(record)
+        name = self._name(record)
+        if isinstance(record, Taken):
+            self.live_bytes += length + NOTE * NOTES - self.live.get(name, 0)
+            self.live[name] = length + NOTE * NOTES
+        elif isinstance(record, Over):
+            self.live_bytes -= self.live.pop(name, 0)
+
+    def _replay(self) -> None:
+        self.fresh.unlink(missing_ok=True)  # a rewrite that was cut off: the old file still counts
+        try:
+            lines = self.path.read_bytes().split(b"\n")
+        except FileNotFoundError:
+            return
+        for number, line in enumerate(lines, 1):
+            if not line:
+                continue
+            record = decode(line, self.to_unix)
+            if record is None:
+                count("journal_damaged")
+                log("journal", f"line {number} of {len(lines)} is damaged and left out")
+                continue
+            self._note(record, len(line) + 1)
+
+    def _rewrite(self) -> None:
+        """Write what is not over to a new file and put it in the old one's place."""
+        data = b"".join(encode(r, self.to_unix) for r in self.ledger.records())
+        fresh = os.open(self.fresh, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
+        try:
+            self._write(fresh, data)
+            os.rename(self.fresh, self.path)
+        except OSError:
+            os.close(fresh)
+            raise
+        if self.file >= 0:
+            os.close(self.file)
+        self.file, self.size = fresh, len(data)
+        count("journal_rewrites")
+
+    @staticmethod
+    def _write(file: int, data: bytes) -> None:
+        view = memoryview(data)
+        while view:
+            view = view[os.write(file, view) :]
--- /dev/null
+++ b/juniperward/loop.py
@@ -0,0 +1,152 @@
+"""One thread that turns what happens into effects: queue to reducer to effects, and the timers."""
+
+from __future__ import annotations
+
+import heapq
+import queue
+import time
+from collections.abc import Callable
+
+from juniperward.counters import count, log, trouble
+from juniperward.journal import Journal, JournalFull
+from juniperward.messages import (
+    Abandon,
+    Append,
+    Bar,
+    CloseIdle,
+    Delegate,
+    Due,
+    Effect,
+    Event,
+    Hold,
+    Notify,
+    Record,
+    Reply,
+    Say,
+    TakeOn,
+    TookOn,
+    Wake,
+    WatchFrom,
+)
+from juniperward.net.registry import Registry
+from juniperward.net.server import Server
+from juniperward.net.workers import Workers
+from juniperward.reducer import Reducer
+
+AT_ONCE = 500  # events of one round at most
+SWEEP = 1.0  # seconds between looks at idle connections
+BACK = 1.0  # seconds after which a client may come again that the journal had no room for
+
+
+class Loop:
+    """Carries out the effects that the reducer asks for, in their order, on one thread."""
+
+    def __init__(self, reducer: Reducer, journal: Journal) -> None:
+        self.reducer, self.journal = reducer, journal
+        self.events: queue.SimpleQueue[Event] = queue.SimpleQueue()
+        self.follow: list[Event] = []
+        self.timers: list[tuple[float, int, Due]] = []
+        self.serial = 0
+        self.sweep_at = 0.0
+        self.server: Server
+        self.workers: Workers
+        self.registry: Registry
+
+    def post(self, event: Event) -> None:
+        """Any thread may call this, and a signal's handler."""
+        self.events.put(event)
+
+    def round(self, events: list[Event]) -> None:
+        """Reduce events and carry out what follows, until nothing more follows at once."""
+        while events:
+            now = time.monotonic()
+            try:
+                effects = self.reducer.reduce(now, events)
+            except Exception as error:
+                if __debug__:
+                    raise
+                trouble("reducer", error)
+                effects = self.reducer.effects
+            self.follow = []
+            for effect in effects:
+                try:
+                    self._perform(effect)
+                except Exception as error:
+                    if __debug__:
+                        raise
+                    trouble(type(effect).__name__, error)
+            events = self.follow
+
+    def run(self, stopped: Callable[[], bool]) -> None:
+        """Go on until the reducer has finished, or `stopped` says so."""
+        while not stopped() and not self.reducer.finished(time.monotonic()):
+            events = self._wait()
+            now = time.monotonic()
+            while self.timers and self.timers[0][0] <= now:
+                events.append(heapq.heappop(self.timers)[2])
+            self.round(events)
+            if now >= self.sweep_at:
+                self.sweep_at = now + SWEEP
+                self.workers.sweep(now)
+
+    def _wait(self) -> list[Event]:
+        now = time.monotonic()
+        until = min(self.timers[0][0] if self.timers else now + SWEEP, now + SWEEP)
+        events: list[Event] = []
+        try:
+            events.append(self.events.get(timeout=max(until - now, 0.0)))
+            while len(events) < AT_ONCE:
+                events.append(self.events.get_nowait())
+        except queue.Empty:
+            pass
+        return events
+
+    def _perform(self, effect: Effect) -> None:
+        match effect:
+            case TakeOn(client=client, message=message, record=record):
+                self.follow.append(TookOn(message, self._take_on(client, record)))
+            case Reply(client=client, status=status, retry_after=wait):
+                self.server.answer(client, status, wait)
+            case Append(record=record):
+                self._append(record)
+            case Delegate():
+                self.workers.delegate(effect)
+            case Abandon(delegation=number):
+                self.workers.abandon(number)
+            case CloseIdle(worker=worker):
+                self.workers.close_idle(worker)
+            case Bar(worker=worker, barred=barred):
+                self.workers.bar(worker, barred)
+            case Hold(destination=destination, until=until):
+                self.workers.hold(destination, until)
+            case WatchFrom(version=version):
+                self.registry.watch(version)
+            case Notify(notices=notices):
+                self.registry.notify(notices)
+            case Wake(at=at, due=due):
+                self.serial += 1
+                heapq.heappush(self.timers, (at, self.serial, due))
+            case Say(text=text):
+                log("module", text)
+
+    def _take_on(self, client: int, record: Record) -> bool:
+        """The journal first, then the client: what a client was told outlasts this process."""
+        try:
+            self.journal.append(record)
+        except JournalFull:
+            count("turned_away_disk")
+            log("journal", "no room for another message; clients are turned away")
+        except OSError as error:
+            count("journal_failures")
+            log("journal", f"cannot write: {error}; clients are turned away")
+        else:
+            return self.server.answer(client, 202)
+        self.server.answer(client, 503, BACK)
+        return False
+
+    def _append(self, record: Record) -> None:
+        try:
+            self.journal.append(record)
+        except OSError as error:
+            count("journal_failures")
+            log("journal", f"cannot write: {error}")
--- /dev/null
+++ b/juniperward/messages.py
@@ -0,0 +1,328 @@
+"""Typed values that pass between the sockets, the journal and the reducer; plain data, no decisions.
+
+Times are seconds of the monotonic clock. A message is decoded into a `Call` once; from then on it is known by
+a number of this process. Events go into the reducer, effects come out of it.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from nickelscale.interface import Outcome, Phase
+
+# --- values -----------------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A client's message, decoded from whatever protocol it came by."""
+
+    id: str
+    cls: int
+    tenant: int
+    destination: int
+    time_left: float
+    key: str | None
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Worker:
+    """One entry of the registry's list; `id` is the text that the registry uses."""
+
+    id: str
+    host: str
+    port: int
+    destination: int
+    phase: Phase
+    kind: int
+    zone: int
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class End:
+    """How one message of a delegation ended."""
+
+    message: int
+    outcome: Outcome
+    wait: float = 0.0
+    slots_taken: bool = False
+    over: bool = False
+    room: float | None = None
+    limit: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Notice:
+    """The end of a message that was taken on and not delivered; `again` None is a failure."""
+
+    id: str
+    again: float | None = None
+
+
+# --- the journal's records ---------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class Taken:
+    """A message was taken on."""
+
+    call: Call
+    expires: float
+
+
+@dataclass(frozen=True, slots=True)
+class Began:
+    """A delegation of a message is about to start."""
+
+    id: str
+    at: float
+    worker: str
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """The latest delegation of a message ended."""
+
+    id: str
+    may_have_run: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Decided:
+    """The message is given up; its notice is owed from now on, and nothing else."""
+
+    notice: Notice
+
+
+@dataclass(frozen=True, slots=True)
+class Over:
+    """Nothing more is owed."""
+
+    id: str
+
+
+Record = Taken | Began | Ended | Decided | Over
+
+
+@dataclass(frozen=True, slots=True)
+class Delegated:
+    """A delegation of an earlier life, as the journal has it; one without an end may have run."""
+
+    worker: str
+    at: float
+    may_have_run: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Restored:
+    """What the journal knows of a message that is not over."""
+
+    call: Call
+    expires: float
+    history: tuple[Delegated, ...] = ()
+    notice: Notice | None = None
+
+
+# --- events ------------------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class Replayed:
+    """The journal was read; comes once, before any client."""
+
+    messages: tuple[Restored, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Handed:
+    """A client handed in a message; its last byte came at `at`."""
+
+    client: int
+    call: Call
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class TookOn:
+    """What became of a `TakeOn`: whether the client was told."""
+
+    message: int
+    told: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """A delegation ended; all its messages in one event."""
+
+    delegation: int
+    ends: tuple[End, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """News from the registry."""
+
+    version: int
+    full: bool
+    workers: tuple[Worker, ...]
+    known: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class WatchLost:
+    """The watch failed or ended."""
+
+
+@dataclass(frozen=True, slots=True)
+class Noticed:
+    """The platform accepted these notices."""
+
+    ids: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ModuleTimer:
+    """A timer of the decision module is due."""
+
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class TimeUp:
+    """The time of one message in a delegation is up."""
+
+    delegation: int
+    message: int
+
+
+@dataclass(frozen=True, slots=True)
+class CalledOff:
+    """A delegation was abandoned on the module's word; its messages have their end now."""
+
+    delegation: int
+
+
+@dataclass(frozen=True, slots=True)
+class Stop:
+    """The process was told to end; it must have by `until`, and not before `open_until`."""
+
+    open_until: float
+    until: float
+
+
+Due = ModuleTimer | TimeUp | CalledOff
+Event = Replayed | Handed | TookOn | Answered | Heard | WatchLost | Noticed | Due | Stop
+
+# --- effects -----------------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class TakeOn:
+    """Journal the message, then tell its client 202; `TookOn` reports back."""
+
+    client: int
+    message: int
+    record: Taken
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Answer a client without taking its message on (or again, where it is held already)."""
+
+    client: int
+    status: int
+    retry_after: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Append:
+    """Write a record to the journal."""
+
+    record: Record
+
+
+@dataclass(frozen=True, slots=True)
+class Parcel:
+    """One message of a delegation."""
+
+    message: int
+    call: Call
+
+
+@dataclass(frozen=True, slots=True)
+class Delegate:
+    """Call a worker with one or more messages; `Answered` reports back exactly once, unless abandoned."""
+
+    number: int
+    worker: int
+    host: str
+    port: int
+    destination: int
+    parcels: tuple[Parcel, ...]
+    deadline: float
+
+
+@dataclass(frozen=True, slots=True)
+class Abandon:
+    """Close the connection of a delegation; nothing is reported for it any more."""
+
+    delegation: int
+
+
+@dataclass(frozen=True, slots=True)
+class CloseIdle:
+    """Close the idle connections to a worker."""
+
+    worker: int
+
+
+@dataclass(frozen=True, slots=True)
+class Bar:
+    """Write nothing new to a worker, or do so again."""
+
+    worker: int
+    barred: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Hold:
+    """Write nothing to a destination's workers before `until`."""
+
+    destination: int
+    until: float
+
+
+@dataclass(frozen=True, slots=True)
+class WatchFrom:
+    """Watch the registry for what changed after a version."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Notify:
+    """Hand notices to the platform until they are accepted."""
+
+    notices: tuple[Notice, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Wake:
+    """Report `due` at a time."""
+
+    at: float
+    due: Due
+
+
+@dataclass(frozen=True, slots=True)
+class Say:
+    """A line for the people on call."""
+
+    text: str
+
+
+Effect = (
+    TakeOn | Reply | Append | Delegate | Abandon | CloseIdle | Bar | Hold | WatchFrom | Notify | Wake | Say
+)
--- /dev/null
+++ b/juniperward/net/__init__.py
@@ -0,0 +1,1 @@
+"""Everything that touches a socket, and the parser and encoder of HTTP/1.1."""
--- /dev/null
+++ b/juniperward/net/codec.py
@@ -0,0 +1,58 @@
+"""The client protocol over HTTP, as a codec before the reducer: a second protocol gets one of its own.
+
+It turns a request into a `Call` and an answer of the reducer into bytes; it decides nothing.
+"""
+
+from __future__ import annotations
+
+import math
+import re
+
+from juniperward.config import Names
+from juniperward.messages import Call
+from juniperward.net.http import Request, encode_response
+
+PATH = "/api"
+MOST_ID = 200
+DESTINATION = re.compile(r"(?:^|[;,\s])dest\s*=\s*([0-9]{1,15})(?=$|[;,\s])")
+
+
+class BadCall(Exception):
+    """The request is HTTP but no message of this protocol; the text tells the client why."""
+
+
+def decode_call(request: Request, names: Names) -> Call:
+    """The message that a request hands in."""
+    headers = request.headers
+    name = headers.get("x-correlation-id", "")
+    if not name or len(name) > MOST_ID or not name.isascii():
+        raise BadCall("X-Correlation-Id: an id of printable characters is needed")
+    try:
+        cls = names.classes.index(headers.get("x-service-class", ""))
+    except ValueError:
+        raise BadCall("X-Service-Class: no such class") from None
+    tenant = 0
+    if names.tenants:
+        try:
+            tenant = names.tenants.index(headers.get("x-account", ""))
+        except ValueError:
+            raise BadCall("X-Account: no such account") from None
+    try:
+        left = float(headers.get("x-time-left", ""))
+    except ValueError:
+        left = math.nan
+    if not 0 <= left < 1e7:
+        raise BadCall("X-Time-Left: seconds are needed")
+    found = DESTINATION.search(headers.get("x-addressing", ""))
+    if found is None:
+        raise BadCall("X-Addressing: dest=NUMBER is needed")
+    key = headers.get("idempotency-key")
+    return Call(name, cls, tenant, int(found[1]), left, key, request.body)
+
+
+def encode_reply(status: int, retry_after: float, close: bool, text: str = "") -> bytes:
+    """The answer to a message that was handed in."""
+    headers = {"Retry-After": f"{retry_after:.3f}"} if retry_after > 0 else {}
+    if text:
+        headers["Content-Type"] = "text/plain; charset=utf-8"
+    return encode_response(status, headers, f"{text}\n".encode() if text else b"", close)
--- /dev/null
+++ b/juniperward/net/http.py
@@ -0,0 +1,245 @@
+"""HTTP/1.1: a parser and an encoder, no sockets. A `Stream` reads from whatever `receive` gives."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+MOST_HEAD, MOST_BODY, MOST_LINE = 16 * 1024, 64 * 1024, 1024 * 1024
+REASONS = {
+    200: "OK", 202: "Accepted", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+    408: "Request Timeout", 411: "Length Required", 413: "Content Too Large",
+    431: "Request Header Fields Too Large", 500: "Internal Server Error", 503: "Service Unavailable",
+    505: "HTTP Version Not Supported",
+}  # fmt: skip
+TOKEN = frozenset(b"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ")
+
+
+class Closed(Exception):
+    """The other side closed between messages."""
+
+
+class Broken(Exception):
+    """The other side closed or reset inside a message; `status` is known where its first line had come."""
+
+    status: int | None = None
+
+
+class Malformed(Exception):
+    """What came is not HTTP as we take it; `status` is the answer to a request of this form."""
+
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(text)
+        self.status = status
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """A request with its whole body."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    close: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Response:
+    """A response with its whole body."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    close: bool
+
+
+class Stream:
+    """Bytes as they come, cut at any place."""
+
+    def __init__(self, receive: Callable[[int], bytes]) -> None:
+        self.receive = receive
+        self.buffer = bytearray()
+
+    def _more(self) -> None:
+        try:
+            data = self.receive(16384)
+        except (ConnectionError, TimeoutError, BlockingIOError) as error:
+            raise Broken(str(error)) from error
+        if not data:
+            raise Broken("closed")
+        self.buffer += data
+
+    def line(self, most: int, status: int) -> bytes:
+        """Up to the next line end, which is left out."""
+        start = 0
+        while (end := self.buffer.find(b"\n", start)) < 0:
+            if len(self.buffer) > most:
+                raise Malformed(status, "a line is too long")
+            start = len(self.buffer)
+            self._more()
+        text = bytes(self.buffer[:end])
+        del self.buffer[: end + 1]
+        return text.removesuffix(b"\r")
+
+    def exactly(self, length: int) -> bytes:
+        """So many bytes."""
+        while len(self.buffer) < length:
+            self._more()
+        data = bytes(self.buffer[:length])
+        del self.buffer[:length]
+        return data
+
+    def rest(self, most: int) -> bytes:
+        """All until the other side closes."""
+        try:
+            while len(self.buffer) <= most:
+                self._more()
+        except Broken:
+            data = bytes(self.buffer)
+            self.buffer.clear()
+            return data
+        raise Malformed(413, "the body is too large")
+
+
+def _headers(stream: Stream) -> dict[str, str]:
+    headers: dict[str, str] = {}
+    left = MOST_HEAD
+    while line := stream.line(left, 431):
+        left -= len(line)
+        if left < 0:
+            raise Malformed(431, "the headers are too large")
+        name, colon, value = line.partition(b":")
+        if not colon or not name or not TOKEN.issuperset(name):
+            raise Malformed(400, "a header line is malformed")
+        key, text = name.decode("ascii").lower(), value.strip(b" \t").decode("latin-1")
+        if any(c < " " and c != "\t" for c in text):
+            raise Malformed(400, "a header has control characters")
+        if headers.get(key, text) != text:
+            if key in ("content-length", "transfer-encoding", "host"):
+                raise Malformed(400, f"{key} stands twice")
+            text = f"{headers[key]}, {text}"
+        headers[key] = text
+    return headers
+
+
+def _length(headers: dict[str, str]) -> int | None:
+    text = headers.get("content-length")
+    if text is None:
+        return None
+    if not text.isascii() or not text.isdigit():
+        raise Malformed(400, "content-length is not a number")
+    return int(text) if len(text) < 12 else MOST_BODY + 1
+
+
+def _closes(version: bytes, headers: dict[str, str]) -> bool:
+    words = {w.strip().lower() for w in headers.get("connection", "").split(",")}
+    return "close" in words or (version == b"HTTP/1.0" and "keep-alive" not in words)
+
+
+def read_request(stream: Stream) -> Request:
+    """The next request; raises Closed where the other side ends between two."""
+    first = b""
+    while not first:
+        if not stream.buffer:
+            try:
+                stream._more()
+            except Broken as error:
+                raise Closed from error
+        first = stream.line(MOST_HEAD, 431)
+    parts = first.split(b" ")
+    if len(parts) != 3 or not parts[0] or not TOKEN.issuperset(parts[0]) or not parts[1].startswith(b"/"):
+        raise Malformed(400, "the request line is malformed")
+    method, target, version = parts
+    if version not in (b"HTTP/1.1", b"HTTP/1.0"):
+        raise Malformed(505 if version.startswith(b"HTTP/") else 400, "not HTTP/1.1")
+    headers = _headers(stream)
+    if "transfer-encoding" in headers:
+        raise Malformed(411, "bodies are taken with a content-length only")
+    length = _length(headers) or 0
+    if length > MOST_BODY:
+        raise Malformed(413, "the body is too large")
+    body = stream.exactly(length)
+    path = target.decode("latin-1").split("?", 1)[0]
+    return Request(method.decode(), path, headers, body, _closes(version, headers))
+
+
+def read_head(stream: Stream) -> tuple[int, dict[str, str], bool]:
+    """Status, headers and whether the connection ends, of a response; 1xx are passed over."""
+    status: int | None = None
+    try:
+        while True:
+            parts = stream.line(MOST_HEAD, 400).split(b" ", 2)
+            if len(parts) < 2 or not parts[0].startswith(b"HTTP/1.") or not parts[1].isdigit():
+                raise Malformed(400, "the status line is malformed")
+            status = int(parts[1])
+            headers = _headers(stream)
+            if status >= 200:
+                return status, headers, _closes(parts[0], headers)
+    except (Broken, Malformed) as error:
+        if status is None:
+            raise
+        broken = Broken(str(error))
+        broken.status = status
+        raise broken from error
+
+
+def read_response(stream: Stream) -> Response:
+    """A whole response."""
+    status, headers, close = read_head(stream)
+    try:
+        if status in (204, 304):
+            body = b""
+        elif "chunked" in headers.get("transfer-encoding", "").lower():
+            body = b""
+            for chunk in chunks(stream):
+                body += chunk
+                if len(body) > MOST_LINE:
+                    raise Malformed(413, "the body is too large")
+        elif (length := _length(headers)) is not None:
+            if length > MOST_LINE:
+                raise Malformed(413, "the body is too large")
+            body = stream.exactly(length)
+        else:
+            body, close = stream.rest(MOST_LINE), True
+    except (Broken, Malformed) as error:
+        broken = Broken(str(error))
+        broken.status = status
+        raise broken from error
+    return Response(status, headers, body, close)
+
+
+def chunks(stream: Stream) -> Iterator[bytes]:
+    """The pieces of a chunked body, until its last."""
+    while True:
+        size = stream.line(256, 400).split(b";", 1)[0].strip()
+        try:
+            length = int(size, 16)
+        except ValueError:
+            length = -1
+        if not 0 <= length <= MOST_LINE:
+            raise Malformed(400, "a chunk's size is malformed")
+        if length == 0:
+            while stream.line(MOST_HEAD, 431):
+                pass
+            return
+        yield stream.exactly(length)
+        if stream.line(2, 400):
+            raise Malformed(400, "a chunk does not end where it should")
+
+
+def encode_request(method: str, target: str, host: str, headers: dict[str, str], body: bytes | None) -> bytes:
+    """A request as it is written."""
+    lines = [f"{method} {target} HTTP/1.1", f"Host: {host}", *(f"{k}: {v}" for k, v in headers.items())]
+    if body is not None:
+        lines.append(f"Content-Length: {len(body)}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + (body or b"")
+
+
+def encode_response(status: int, headers: dict[str, str], body: bytes, close: bool) -> bytes:
+    """A response as it is written."""
+    lines = [f"HTTP/1.1 {status} {REASONS[status]}", *(f"{k}: {v}" for k, v in headers.items())]
+    lines.append(f"Content-Length: {len(body)}")
+    if close:
+        lines.append("Connection: close")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
--- /dev/null
+++ b/juniperward/net/registry.py
@@ -0,0 +1,172 @@
+"""The registry: one watch on its list, and the notices that go to the platform at the same address."""
+
+from __future__ import annotations
+
+import json
+import queue
+import socket
+import threading
+import time
+from collections.abc import Callable
+from typing import Any
+
+from juniperward.config import Names, read_news
+from juniperward.counters import count, log, trouble
+from juniperward.messages import Event, Heard, Notice, Noticed, WatchLost
+from juniperward.net import sockets
+from juniperward.net.http import Broken, Malformed, Stream, chunks, encode_request, read_head, read_response
+
+SILENT = 4.5  # seconds without a line after which a watch is dead; one comes every 2
+DIAL = 1.0
+NOTICE_WAIT = 1.0  # seconds for the answer to notices; it comes straight away
+NOTICE_AGAIN = (0.05, 0.4)  # seconds before notices are handed over again: first, most
+NOTICES_AT_ONCE = 200
+MOST_LINE = 4 * 1024 * 1024
+
+Link = tuple[socket.socket, Stream]
+
+
+class Registry:
+    """Owns the watch and the notices' connection, a thread for each."""
+
+    def __init__(self, address: tuple[str, int], names: Names, post: Callable[[Event], None]) -> None:
+        self.address, self.names, self.post = address, names, post
+        self.host = f"{address[0]}:{address[1]}"
+        self.wanted: queue.SimpleQueue[int] = queue.SimpleQueue()
+        self.notices: queue.SimpleQueue[Notice] = queue.SimpleQueue()
+
+    def start(self) -> None:
+        """Begin to work off what is asked for."""
+        threading.Thread(target=self._watches, name="registry", daemon=True).start()
+        threading.Thread(target=self._notify, name="notices", daemon=True).start()
+
+    def watch(self, version: int) -> None:
+        """Watch for what changed after a version; WatchLost reports its end."""
+        self.wanted.put(version)
+
+    def notify(self, notices: tuple[Notice, ...]) -> None:
+        """Hand notices over until they are accepted."""
+        for notice in notices:
+            self.notices.put(notice)
+
+    # --- the watch --------------------------------------------------------------------------------------
+
+    def _watches(self) -> None:
+        while True:
+            version = self.wanted.get()
+            try:
+                self._watch(version)
+            except (OSError, Broken, Malformed) as error:
+                log("registry", f"the watch ended: {error}")
+            except (ValueError, KeyError, TypeError, AttributeError) as error:
+                count("registry_unread")
+                log("registry", f"news that cannot be read: {type(error).__name__}: {error}")
+            except Exception as error:
+                trouble("registry", error)
+            self.post(WatchLost())
+
+    def _watch(self, version: int) -> None:
+        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
+            sockets.connect(*self.address, DIAL, sock)
+            sockets.limit(sock, socket.SO_RCVTIMEO, SILENT)
+            target = f"/registry/instances?follow=1&since={version}"
+            sock.sendall(encode_request("GET", target, self.host, {}, None))
+            stream = Stream(sock.recv)
+            status, headers, _ = read_head(stream)
+            if status != 200 or "chunked" not in headers.get("transfer-encoding", "").lower():
+                raise Broken(f"it was answered {status}")
+            count("watches_begun")
+            pending = b""
+            for chunk in chunks(stream):
+                *lines, pending = (pending + chunk).split(b"\n")
+                for line in lines:
+                    if line.strip():
+                        self._news(line)
+                if len(pending) > MOST_LINE:
+                    raise Malformed(400, "a line of news is too long")
+            raise Broken("it came to its end")
+
+    def _news(self, line: bytes) -> None:
+        news = read_news(json.loads(line), self.names)
+        self.post(Heard(news.version, news.full, news.workers))
+
+    # --- notices -----------------------------------------------------------------------------------------
+
+    def _notify(self) -> None:
+        connection: Link | None = None
+        while True:
+            batch = [self.notices.get()]
+            try:
+                while len(batch) < NOTICES_AT_ONCE:
+                    batch.append(self.notices.get_nowait())
+            except queue.Empty:
+                pass
+            again = NOTICE_AGAIN[0]
+            while batch:
+                try:
+                    connection, batch = self._hand_over(connection, batch)
+                    continue
+                except (OSError, Broken, Malformed) as error:
+                    log("notices", f"not accepted, they go again: {error}")
+                except Exception as error:
+                    trouble("notices", error)
+                count("notices_again")
+                if connection is not None:
+                    connection[0].close()
+                    connection = None
+                time.sleep(again)
+                again = min(2 * again, NOTICE_AGAIN[1])
+
+    def _hand_over(
+        self, connection: Link | None, batch: list[Notice]
+    ) -> tuple[Link | None, list[Notice]]:
+        """Post notices; the connection to go on with, and the notices that are left."""
+        if connection is None or not sockets.quiet(connection[0]):
+            if connection is not None:
+                connection[0].close()
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            connection = (sock, Stream(sock.recv))
+            try:
+                sockets.connect(*self.address, DIAL, sock)
+                sockets.limit(sock, socket.SO_RCVTIMEO, NOTICE_WAIT)
+            except OSError:
+                sock.close()
+                raise
+        sock, stream = connection
+        try:
+            body = b"".join(_line(n) for n in batch)
+            sock.sendall(encode_request("POST", "/status", self.host, {}, body))
+            answer = read_response(stream)
+        except (OSError, Broken, Malformed):
+            sock.close()
+            raise
+        kept: Link | None = connection
+        if answer.close:
+            sock.close()
+            kept = None
+        if answer.status == 204:
+            count("notices_accepted", len(batch))
+            self.post(Noticed(tuple(n.id for n in batch)))
+            return kept, []
+        if answer.status == 400 and len(batch) > 1:
+            # One that cannot be read must not hold up the others.
+            left: list[Notice] = []
+            for notice in batch:
+                kept, more = self._hand_over(kept, [notice])
+                left += more
+            return kept, left
+        if answer.status == 400:
+            count("notices_dropped")
+            log("notices", f"the platform cannot read the notice of {batch[0].id}; it is dropped")
+            self.post(Noticed((batch[0].id,)))
+            return kept, []
+        raise Broken(f"answered {answer.status}")
+
+
+def _line(notice: Notice) -> bytes:
+    row: dict[str, Any] = {"id": notice.id, "status": "undeliverable"}
+    if notice.again is not None:
+        row["status"] = "deferred"
+        if notice.again > 0:
+            row["again_ms"] = round(notice.again * 1000)
+    return json.dumps(row, separators=(",", ":")).encode() + b"\n"
--- /dev/null
+++ b/juniperward/net/server.py
@@ -0,0 +1,250 @@
+"""The listener and the clients' connections, a thread with a small stack each; the ready page."""
+
+from __future__ import annotations
+
+import socket
+import threading
+import time
+from collections.abc import Callable
+
+from juniperward.config import Names
+from juniperward.counters import count, holds, log, trouble
+from juniperward.messages import Event, Handed
+from juniperward.net import sockets
+from juniperward.net.codec import PATH, BadCall, decode_call, encode_reply
+from juniperward.net.http import Broken, Closed, Malformed, Request, Stream, encode_response, read_request
+
+IDLE = 120.0  # seconds after which a connection that nothing comes on is closed
+STALL = 10.0  # seconds that a request may stand still half read
+PATIENCE = 0.35  # seconds for the reducer's answer; the client waits for 0.4
+LINGER = 0.2  # seconds to read on after a refusal, or a reset could overtake it
+BACK = 1.0  # seconds after which a client that was turned away here may come again
+BACKLOG = 512
+
+
+class Client:
+    """One connection of a client. `lock` guards `pending` and who writes."""
+
+    def __init__(self, number: int, sock: socket.socket) -> None:
+        self.number, self.sock = number, sock
+        self.lock = threading.Lock()
+        self.answered = threading.Event()
+        self.pending = False
+        self.idle = True
+        self.close = False  # as the client asked
+
+
+class Server:
+    """Owns the listener and every client connection."""
+
+    def __init__(
+        self, listen: tuple[str, int], names: Names, most: int, post: Callable[[Event], None]
+    ) -> None:
+        self.names, self.most, self.post = names, most, post
+        self.clients: dict[int, Client] = {}
+        self.lock = threading.Lock()
+        self.last = 0
+        self.ready = self.stopping = False
+        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind(listen)
+        self.listener.listen(BACKLOG)
+
+    def start(self) -> None:
+        """Begin to accept; the ready page says yes from here on."""
+        self.ready = True
+        threading.Thread(target=self._accept, name="listener", daemon=True).start()
+
+    def stop(self) -> None:
+        """Close kept connections once idle; new ones are still answered until `close`."""
+        self.stopping = True
+        with self.lock:
+            clients = list(self.clients.values())
+        for client in clients:
+            with client.lock:
+                if client.idle:
+                    # Reading ends once what has come is read: a request that crosses this is still answered.
+                    sockets.shut(client.sock, socket.SHUT_RD)
+
+    def close(self) -> None:
+        """Accept no more."""
+        sockets.shut(self.listener)
+        self.listener.close()
+
+    def answer(self, number: int, status: int, retry_after: float = 0.0) -> bool:
+        """Write the answer that a client waits for; whether it was there to be told."""
+        with self.lock:
+            client = self.clients.get(number)
+        if client is None:
+            return False
+        with client.lock:
+            if not client.pending:
+                return False
+            client.pending = False
+            left = sockets.ended(client.sock)
+            if left:
+                # It ended its sending: whether it still reads is unknown, so nothing is taken on for it.
+                status, retry_after = 503, BACK
+                count("clients_left")
+            told = self._write(client, encode_reply(status, retry_after, client.close or self.stopping))
+            client.answered.set()
+        return told and not left
+
+    def _write(self, client: Client, data: bytes) -> bool:
+        try:
+            return client.sock.send(data, socket.MSG_DONTWAIT | socket.MSG_NOSIGNAL) == len(data)
+        except OSError:
+            return False
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self.listener.accept()
+            except OSError as error:
+                if self.listener.fileno() < 0 or self.stopping:
+                    return
+                count("accepts_failed")
+                log("listener", f"cannot accept: {error}")
+                time.sleep(0.01)
+                continue
+            try:
+                self._admit(sock)
+            except Exception as error:
+                trouble("listener", error)
+                sock.close()
+
+    def _admit(self, sock: socket.socket) -> None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sockets.limit(sock, socket.SO_RCVTIMEO, STALL)
+        with self.lock:
+            self.last += 1
+            client = Client(self.last, sock)
+            full = len(self.clients) >= self.most
+            if not full:
+                self.clients[client.number] = client
+        count("clients_accepted")
+        if full:
+            count("clients_turned_away")
+            self._write(client, encode_reply(503, BACK, True, "too many connections"))
+            sock.close()
+            return
+        try:
+            threading.Thread(target=self._serve, args=(client,), name="client", daemon=True).start()
+        except RuntimeError:
+            with self.lock:
+                self.clients.pop(client.number, None)
+            self._write(client, encode_reply(503, BACK, True, "too many connections"))
+            raise
+
+    def _serve(self, client: Client) -> None:
+        stream = Stream(client.sock.recv)
+        try:
+            while self._next(client, stream):
+                pass
+        except Closed:
+            pass
+        except Broken:
+            count("clients_broken")
+        except OSError:
+            count("clients_broken")
+        except Exception as error:
+            trouble("client", error)
+            self._write(client, encode_reply(500, 0.0, True, "internal error"))
+        finally:
+            with self.lock:
+                self.clients.pop(client.number, None)
+            client.sock.close()
+
+    def _next(self, client: Client, stream: Stream) -> bool:
+        """Read one request and see it answered; whether the connection goes on."""
+        self._wait_for_bytes(client, stream)
+        try:
+            request = read_request(stream)
+        except Malformed as error:
+            count("requests_malformed")
+            self._write(client, encode_reply(error.status, 0.0, True, str(error)))
+            self._linger(client)
+            return False
+        at = time.monotonic()
+        if request.path == PATH and request.method == "POST":
+            client.close = request.close
+            self._hand_in(client, request, at)
+        else:
+            client.sock.sendall(self._page(request))
+        if request.close or self.stopping:
+            self._linger(client)
+            return False
+        return True
+
+    def _wait_for_bytes(self, client: Client, stream: Stream) -> None:
+        with client.lock:
+            client.idle = True
+        if self.stopping and not stream.buffer and sockets.quiet(client.sock):
+            raise Closed
+        began = time.monotonic()
+        while not stream.buffer:
+            try:
+                data = client.sock.recv(16384)
+            except BlockingIOError:
+                if time.monotonic() - began > IDLE:
+                    raise Closed from None
+                continue
+            except ConnectionError as error:
+                raise Closed from error
+            if not data:
+                raise Closed
+            stream.buffer += data
+        with client.lock:
+            client.idle = False
+
+    def _hand_in(self, client: Client, request: Request, at: float) -> None:
+        try:
+            call = decode_call(request, self.names)
+        except BadCall as error:
+            count("requests_refused")
+            client.sock.sendall(encode_reply(400, 0.0, request.close or self.stopping, str(error)))
+            return
+        with client.lock:
+            client.answered.clear()
+            client.pending = True
+        self.post(Handed(client.number, call, at))
+        if client.answered.wait(PATIENCE):
+            return
+        with client.lock:
+            if not client.pending:
+                return
+            # The reducer is behind; an answer that comes later finds nobody and is withdrawn.
+            client.pending = False
+            count("answers_overdue")
+            self._write(client, encode_reply(503, BACK, request.close or self.stopping))
+
+    def _page(self, request: Request) -> bytes:
+        close = request.close or self.stopping
+        body: bytes
+        if request.path == PATH:
+            status, body = 405, b"use POST\n"
+        elif request.path not in ("/health/ready", "/health/live"):
+            status, body = 404, b"no such page\n"
+        elif request.method not in ("GET", "HEAD"):
+            status, body = 405, b"use GET\n"
+        elif request.path == "/health/ready" and (self.stopping or not self.ready):
+            status, body = 503, b"not ready\n"
+        else:
+            status, body = 200, b"ok\n"
+        headers = {"Content-Type": "text/plain; charset=utf-8"}
+        if status == 405:
+            headers["Allow"] = "POST" if request.path == PATH else "GET, HEAD"
+        data = encode_response(status, headers, body, close)
+        return data if request.method != "HEAD" else data[: len(data) - len(body)]
+
+    def _linger(self, client: Client) -> None:
+        """End our side, then read on a little: closing with bytes unread resets what was just written."""
+        holds(not client.pending, "no_close_before_an_answer")
+        sockets.shut(client.sock, socket.SHUT_WR)
+        sockets.limit(client.sock, socket.SO_RCVTIMEO, LINGER)
+        until = time.monotonic() + LINGER
+        try:
+            while time.monotonic() < until and client.sock.recv(16384):
+                pass
+        except OSError:
+            pass
--- /dev/null
+++ b/juniperward/net/workers.py
@@ -0,0 +1,318 @@
+"""Calls to workers: a thread each while one is out, and the connections that are kept between them."""
+
+from __future__ import annotations
+
+import base64
+import json
+import math
+import queue
+import socket
+import threading
+import time
+from collections.abc import Callable
+from typing import Any
+
+from juniperward.counters import count, log, trouble
+from juniperward.messages import Answered, Delegate, End, Event
+from juniperward.net import sockets
+from juniperward.net.http import Broken, Malformed, Response, Stream, encode_request, read_response
+from nickelscale.interface import Outcome
+
+KEEP_PART = 0.8  # part of the workers' keepalive after which an idle connection is dropped
+LONGEST = 60.0  # seconds after which a read ends whatever the reducer forgot
+STATES = {
+    "ok": (Outcome.OK, False),
+    "error": (Outcome.ERROR, False),
+    "later": (Outcome.FULL, False),
+    "gone": (Outcome.MOOT, True),
+    "exhausted": (Outcome.MOOT, False),
+}
+
+
+class Job:
+    """A delegation in the hands of a thread."""
+
+    def __init__(self, what: Delegate) -> None:
+        self.what = what
+        self.sock: socket.socket | None = None
+        self.abandoned = False
+
+
+class Kept:
+    """A connection to a worker."""
+
+    def __init__(self, sock: socket.socket, address: tuple[str, int]) -> None:
+        self.sock, self.address = sock, address
+        self.stream = Stream(sock.recv)
+        self.used = time.monotonic()
+
+
+class Workers:
+    """Owns the worker connections; `lock` guards the tables, threads block outside it."""
+
+    def __init__(
+        self, dial_timeout: float, keepalive: float, most_threads: int, most_idle: int,
+        post: Callable[[Event], None],
+    ) -> None:  # fmt: skip
+        self.dial_timeout, self.keep = dial_timeout, keepalive * KEEP_PART
+        self.most_threads, self.most_idle, self.post = most_threads, most_idle, post
+        self.lock = threading.Lock()
+        self.jobs: queue.SimpleQueue[Job] = queue.SimpleQueue()
+        self.active: dict[int, Job] = {}
+        self.idle: dict[int, list[Kept]] = {}
+        self.barred: set[int] = set()
+        self.held: dict[int, float] = {}
+        self.threads = self.free = 0
+
+    # --- effects, called by the loop ----------------------------------------------------------------
+
+    def delegate(self, what: Delegate) -> None:
+        """Have a thread make this call."""
+        job = Job(what)
+        with self.lock:
+            self.active[what.number] = job
+            grow = self.free <= 0 and self.threads < self.most_threads
+            self.free += grow - 1
+            self.threads += grow
+        if grow:
+            try:
+                threading.Thread(target=self._work, name="worker", daemon=True).start()
+            except RuntimeError as error:
+                trouble("workers", error)
+                with self.lock:
+                    self.threads -= 1
+                    self.free -= 1
+        self.jobs.put(job)
+
+    def abandon(self, number: int) -> None:
+        """Close the connection of a call; nothing is reported for it any more."""
+        with self.lock:
+            job = self.active.pop(number, None)
+            if job is None:
+                return
+            job.abandoned = True
+            sock = job.sock
+        if sock is not None:
+            sockets.shut(sock)
+
+    def close_idle(self, worker: int) -> None:
+        """Close the connections to a worker that no call is on."""
+        with self.lock:
+            kept = self.idle.pop(worker, [])
+        for k in kept:
+            k.sock.close()
+
+    def bar(self, worker: int, barred: bool) -> None:
+        """Write nothing new to a worker that drains or is gone."""
+        with self.lock:
+            (self.barred.add if barred else self.barred.discard)(worker)
+        if barred:
+            self.close_idle(worker)
+
+    def hold(self, destination: int, until: float) -> None:
+        """Write nothing to a destination that told a wait."""
+        with self.lock:
+            self.held[destination] = max(until, self.held.get(destination, until))
+
+    def sweep(self, now: float) -> None:
+        """Drop connections before their workers do."""
+        old = []
+        with self.lock:
+            for worker, kept in list(self.idle.items()):
+                fresh = [k for k in kept if now - k.used < self.keep]
+                old += [k for k in kept if now - k.used >= self.keep]
+                if fresh:
+                    self.idle[worker] = fresh
+                else:
+                    del self.idle[worker]
+        for k in old:
+            k.sock.close()
+
+    # --- threads --------------------------------------------------------------------------------------
+
+    def _work(self) -> None:
+        while True:
+            job = self.jobs.get()
+            try:
+                ends = self._call(job)
+            except Exception as error:
+                trouble("worker", error)
+                ends = _all(job.what, Outcome.RESET)
+            with self.lock:
+                self.free += 1
+                known = self.active.pop(job.what.number, None) is not None
+            if known and not job.abandoned:
+                self.post(Answered(job.what.number, ends))
+
+    def _call(self, job: Job) -> tuple[End, ...]:
+        what = job.what
+        address = (what.host, what.port)
+        kept = self._take_idle(what.worker, address)
+        if kept is None:
+            kept = self._dial(job, address)
+            if kept is None:
+                return _all(what, Outcome.CONNECT_FAILED)
+        else:
+            job.sock = kept.sock
+            count("connections_reused")
+        if not self._may_write(job):
+            # It waited behind a dial: what came meanwhile from the registry or the worker binds it.
+            count("delegations_withheld")
+            self._put_back(what.worker, kept)
+            return _all(what, Outcome.MOOT)
+        try:
+            kept.sock.sendall(_request(what, time.monotonic()))
+        except OSError:
+            kept.sock.close()
+            return _all(what, Outcome.CONNECT_FAILED)
+        try:
+            answer = read_response(kept.stream)
+        except (Broken, Malformed) as error:
+            kept.sock.close()
+            # A first line with 200 has delivered a single message, whatever becomes of the rest.
+            whole = len(what.parcels) == 1 and getattr(error, "status", None) == 200
+            return _all(what, Outcome.OK if whole else Outcome.RESET)
+        if answer.close or job.abandoned:
+            kept.sock.close()
+        else:
+            self._put_back(what.worker, kept)
+        return read_ends(what, answer)
+
+    def _dial(self, job: Job, address: tuple[str, int]) -> Kept | None:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        job.sock = sock
+        left = min(self.dial_timeout, job.what.deadline - time.monotonic())
+        try:
+            if job.abandoned or left <= 0:
+                raise TimeoutError
+            sockets.connect(*address, left, sock)
+            sockets.limit(sock, socket.SO_RCVTIMEO, LONGEST)
+        except OSError as error:
+            sock.close()
+            count("dials_failed")
+            log("dial", f"worker {address[0]}:{address[1]}: {error or 'too late'}")
+            return None
+        count("connections_opened")
+        return Kept(sock, address)
+
+    def _may_write(self, job: Job) -> bool:
+        what, now = job.what, time.monotonic()
+        with self.lock:
+            free = what.worker not in self.barred and now >= self.held.get(what.destination, -math.inf)
+        return free and not job.abandoned and now < what.deadline
+
+    def _take_idle(self, worker: int, address: tuple[str, int]) -> Kept | None:
+        """The connection used most recently that is still good."""
+        while True:
+            with self.lock:
+                kept = self.idle.get(worker)
+                if not kept:
+                    return None
+                k = kept.pop()
+            good = k.address == address and time.monotonic() - k.used < self.keep
+            if good and not k.stream.buffer and sockets.quiet(k.sock):
+                return k
+            k.sock.close()
+
+    def _put_back(self, worker: int, kept: Kept) -> None:
+        kept.used = time.monotonic()
+        drop: list[Kept] = [kept]
+        with self.lock:
+            if worker not in self.barred:
+                self.idle.setdefault(worker, []).append(kept)
+                drop = []
+            if sum(map(len, self.idle.values())) > self.most_idle:
+                oldest = min((k for k in self.idle.values() if k), key=lambda k: k[0].used)
+                drop.append(oldest.pop(0))
+        for k in drop:
+            k.sock.close()
+
+
+def _all(what: Delegate, outcome: Outcome, wait: float = 0.0, **more: Any) -> tuple[End, ...]:
+    return tuple(End(p.message, outcome, wait, **more) for p in what.parcels)
+
+
+def _request(what: Delegate, now: float) -> bytes:
+    """A call as it is written: a single message, or several in one body."""
+    headers = {"X-Time-Left": f"{max(what.deadline - now, 0.001):.3f}"}
+    host = f"{what.host}:{what.port}"
+    if len(what.parcels) == 1:
+        call = what.parcels[0].call
+        headers["X-Correlation-Id"] = call.id
+        if call.key is not None:
+            headers["Idempotency-Key"] = call.key
+        return encode_request("POST", "/receive", host, headers, call.body)
+    rows = []
+    for p in what.parcels:
+        row = {"id": p.call.id, "body": base64.b64encode(p.call.body).decode()}
+        if p.call.key is not None:
+            row["key"] = p.call.key
+        rows.append(row)
+    headers["Content-Type"] = "application/json"
+    body = json.dumps(rows, separators=(",", ":")).encode()
+    return encode_request("POST", "/receive-many", host, headers, body)
+
+
+def read_wait(headers: dict[str, str]) -> float:
+    """The wait that an answer tells, in seconds."""
+    try:
+        wait = float(headers.get("retry-after", "0"))
+    except ValueError:
+        return 0.0
+    return wait if 0 < wait < math.inf else 0.0
+
+
+def read_report(headers: dict[str, str]) -> dict[str, Any]:
+    """The load report of an answer, where there is one."""
+    try:
+        given = json.loads(headers["x-backend-load"])
+        return {name: float(given[x]) for name, x in (("room", "x0"), ("limit", "x1")) if x in given}
+    except (KeyError, ValueError, TypeError):
+        return {}
+
+
+def read_ends(what: Delegate, answer: Response) -> tuple[End, ...]:
+    """What an answer says of each message of a call (PROTOCOL, 'Forwarders to endpoints')."""
+    wait, more = read_wait(answer.headers), read_report(answer.headers)
+    many = len(what.parcels) > 1
+    match answer.status:
+        case 200 if many:
+            return _each(what, answer, wait, more)
+        case 200:
+            return _all(what, Outcome.OK, wait, **more)
+        case 429:
+            return _all(what, Outcome.FULL, wait, **more)
+        case 503 if answer.headers.get("x-over-slots") == "1":
+            return _all(what, Outcome.MOOT, wait, slots_taken=True, **more)
+        case 503:
+            return _all(what, Outcome.FULL, wait, **more)
+        case 504:
+            return _all(what, Outcome.MOOT, wait, **more)
+        case 410:
+            return _all(what, Outcome.MOOT, wait, over=True, **more)
+        case 400 | 413 if many:
+            count("batches_unread")
+            log("worker", f"{what.host}:{what.port} does not take a call of {len(what.parcels)} messages")
+            return _all(what, Outcome.MOOT, wait, **more)
+        case 500:
+            return _all(what, Outcome.ERROR, wait, **more)
+        case status:
+            count("answers_unknown")
+            log("worker", f"{what.host}:{what.port} answered {status}, which is taken as an error")
+            return _all(what, Outcome.ERROR, wait, **more)
+
+
+def _each(what: Delegate, answer: Response, wait: float, more: dict[str, Any]) -> tuple[End, ...]:
+    """The ends of several messages; one that is not named, or not in words we know, may have run."""
+    states: dict[str, tuple[Outcome, bool]] = {}
+    try:
+        for row in json.loads(answer.body):
+            states[row["id"]] = STATES.get(row["state"], (Outcome.ERROR, False))
+    except (ValueError, TypeError, KeyError):
+        count("answers_unread")
+        log("worker", f"{what.host}:{what.port} answered several messages with what cannot be read")
+    ends = []
+    for p in what.parcels:
+        outcome, over = states.get(p.call.id, (Outcome.ERROR, False))
+        ends.append(End(p.message, outcome, wait, over=over, **more))
+    return tuple(ends)
--- /dev/null
+++ b/juniperward/reducer.py
@@ -0,0 +1,386 @@
+"""All mutable state of the forwarder, and the one function that changes it.
+
+`reduce(now, events)` takes in what happened and returns what to do. It knows no clock, no thread and no
+I/O. Which message goes where and when is decided by nickelscale's `Sender`; the reducer keeps what the
+sockets need beside it: texts for the module's numbers, what is journalled, and which delegation carries
+which messages.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from juniperward.counters import count, holds, trouble
+from juniperward.messages import (
+    Abandon,
+    Answered,
+    Append,
+    Bar,
+    Began,
+    Call,
+    CalledOff,
+    CloseIdle,
+    Decided,
+    Delegate,
+    Effect,
+    End,
+    Ended,
+    Event,
+    Handed,
+    Heard,
+    Hold,
+    ModuleTimer,
+    Notice,
+    Noticed,
+    Notify,
+    Over,
+    Parcel,
+    Replayed,
+    Reply,
+    Restored,
+    Say,
+    Stop,
+    Taken,
+    TakeOn,
+    TimeUp,
+    TookOn,
+    Wake,
+    WatchFrom,
+    WatchLost,
+    Worker,
+)
+from nickelscale import Sender
+from nickelscale import interface as i
+
+DOOR_WAIT = 1.0  # seconds after which a client that was turned away at the door may come again
+AGAIN_AFTER = 0.05  # seconds after which the module is asked again where it failed
+LAST_START = 0.9  # seconds before the process must end after which no delegation is started
+
+
+@dataclass(slots=True, eq=False)
+class Held:
+    """A message taken on and not over for the module."""
+
+    number: int
+    call: Call
+    expires: float
+    attempts: int = 0
+    out: int | None = None  # number of the delegation that carries it
+
+
+@dataclass(slots=True, eq=False)
+class Out:
+    """A delegation out: its worker and the messages that are still waited for."""
+
+    number: int
+    worker: int
+    began: float
+    waiting: dict[int, int] = field(default_factory=dict)  # message to attempt
+    called_off: bool = False
+
+
+@dataclass(slots=True)
+class State:
+    """What the forwarder knows beside the module."""
+
+    held: dict[int, Held] = field(default_factory=dict)
+    numbers: dict[str, int] = field(default_factory=dict)  # of held messages, by id
+    offered: dict[int, Held] = field(default_factory=dict)  # journalled, their clients not yet told
+    owed: dict[str, Notice] = field(default_factory=dict)
+    outs: dict[int, Out] = field(default_factory=dict)
+    workers: dict[int, Worker] = field(default_factory=dict)
+    worker_numbers: dict[str, int] = field(default_factory=dict)
+    version: int = 0
+    last_message: int = 0
+    last_delegation: int = 0
+    open_until: float = 0.0
+    stop_at: float | None = None
+
+
+class Reducer:
+    """Drives the module; the only place where the forwarder's state changes."""
+
+    def __init__(self, settings: i.Settings, seed: int) -> None:
+        self.settings = settings
+        self.sender = Sender(settings, seed)
+        self.state = State()
+        self.effects: list[Effect] = []
+        self.news: list[i.Event] = []
+
+    def reduce(self, now: float, events: Iterable[Event]) -> list[Effect]:
+        """Take in all events of a round; the effects are to be carried out in their order."""
+        self.effects, self.news = [], []
+        for event in events:
+            self._take(now, event)
+        if self.news:
+            self._decide(now)
+        return self.effects
+
+    def finished(self, now: float) -> bool:
+        """Whether a forwarder that was told to stop has nothing left that it can bring to an end."""
+        s = self.state
+        if s.stop_at is None:
+            return False
+        waiting = bool(s.held) and now <= s.stop_at - LAST_START
+        busy = s.outs or s.owed or s.offered or waiting or now < s.open_until
+        return now >= s.stop_at or not busy
+
+    def _take(self, now: float, event: Event) -> None:
+        match event:
+            case Handed():
+                self._handed(now, event)
+            case TookOn(message=number, told=told):
+                self._took_on(now, number, told)
+            case Answered():
+                self._answered(now, event)
+            case ModuleTimer(token=token):
+                self.news.append(i.TimerFired(token))
+            case TimeUp(delegation=number, message=message):
+                self._time_up(now, number, message)
+            case CalledOff(delegation=number):
+                self._called_off(now, number)
+            case Heard():
+                self._heard(event)
+            case WatchLost():
+                count("watches_lost")
+                self.news.append(i.Listed(i.ListScope.FAILED))
+            case Noticed(ids=ids):
+                for name in ids:
+                    if self.state.owed.pop(name, None) is not None:
+                        self.effects.append(Append(Over(name)))
+            case Replayed(messages=messages):
+                for restored in messages:
+                    self._restore(now, restored)
+            case Stop(open_until=open_until, until=until):
+                if self.state.stop_at is None:
+                    self.state.open_until, self.state.stop_at = open_until, until
+
+    # --- messages coming in ------------------------------------------------------------------------
+
+    def _handed(self, now: float, e: Handed) -> None:
+        s = self.state
+        if e.call.id in s.numbers or e.call.id in s.owed:
+            # A client whose connection crossed with our close sends the same once more: it is ours already.
+            count("handed_in_twice")
+            self.effects.append(Reply(e.client, 202))
+            return
+        left = e.at + e.call.time_left - now
+        if s.stop_at is not None or left <= 0 or len(s.held) + len(s.offered) >= self.settings.max_open:
+            count("turned_away_stopping" if s.stop_at is not None else "turned_away_full")
+            self.effects.append(Reply(e.client, 503, DOOR_WAIT))
+            return
+        s.last_message += 1
+        held = Held(s.last_message, e.call, e.at + e.call.time_left)
+        s.offered[held.number] = held
+        s.numbers[e.call.id] = held.number
+        self.effects.append(TakeOn(e.client, held.number, Taken(e.call, held.expires)))
+
+    def _took_on(self, now: float, number: int, told: bool) -> None:
+        s = self.state
+        held = s.offered.pop(number)
+        if not told:
+            del s.numbers[held.call.id]
+            count("withdrawn")
+            self.effects.append(Append(Over(held.call.id)))
+            return
+        count("taken_on")
+        s.held[number] = held
+        c = held.call
+        left = max(held.expires - now, 0.0)
+        self.news.append(i.Arrived(number, c.cls, c.destination, left, c.tenant, c.key))
+
+    def _restore(self, now: float, r: Restored) -> None:
+        s = self.state
+        count("restored")
+        if r.notice is not None:
+            self._owe(r.notice)
+            return
+        if r.expires <= now:
+            self._give_up(r.call.id, None)
+            return
+        s.last_message += 1
+        held = Held(s.last_message, r.call, r.expires, len(r.history))
+        s.held[held.number] = held
+        s.numbers[r.call.id] = held.number
+        history = tuple(
+            i.Tried(self._worker_number(d.worker), d.at if d.may_have_run else None) for d in r.history
+        )
+        c = r.call
+        self.news.append(
+            i.Arrived(
+                held.number, c.cls, c.destination, r.expires - now, c.tenant, c.key, history=history
+            )
+        )
+
+    # --- ends ----------------------------------------------------------------------------------------
+
+    def _answered(self, now: float, e: Answered) -> None:
+        out = self.state.outs.get(e.delegation)
+        if out is None:
+            return  # abandoned meanwhile
+        # What the module learns from is the first end it hears of: the refusals among them, if any.
+        for end in sorted(e.ends, key=lambda x: (x.outcome is not i.Outcome.FULL, x.message)):
+            if end.message in out.waiting:
+                self._settle(now, out, end)
+        for message in list(out.waiting):
+            holds(False, "every_message_of_a_delegation_ends")
+            self._settle(now, out, End(message, i.Outcome.RESET))
+        self.state.outs.pop(e.delegation, None)
+
+    def _settle(self, now: float, out: Out, end: End) -> None:
+        attempt = out.waiting.pop(end.message)
+        held = self.state.held.get(end.message)
+        worker = self.state.workers[out.worker]
+        count(f"delegations_{end.outcome.name.lower()}")
+        over = end.over or end.outcome is i.Outcome.OK
+        if held is not None:
+            held.out = None
+            if end.outcome is i.Outcome.OK:
+                count("delivered")
+            if over:
+                self._forget(held)
+                self.effects.append(Append(Over(held.call.id)))
+            else:
+                self.effects.append(Append(Ended(held.call.id, not end.outcome.never_ran)))
+        if end.wait > 0:
+            self.effects.append(Hold(worker.destination, now + end.wait))
+        self.news.append(
+            i.Settled(
+                end.message, attempt, out.worker, end.outcome, now - out.began, over, end.wait,
+                end.slots_taken, end.room, end.limit,
+            )
+        )
+
+    def _time_up(self, now: float, delegation: int, message: int) -> None:
+        """The module's time-out is the message's own end: others of the same call may still wait."""
+        out = self.state.outs.get(delegation)
+        if out is None or message not in out.waiting:
+            return
+        self._settle(now, out, End(message, i.Outcome.TIMEOUT))
+        if not out.waiting:
+            del self.state.outs[delegation]
+            self.effects.append(Abandon(delegation))
+
+    def _called_off(self, now: float, delegation: int) -> None:
+        out = self.state.outs.pop(delegation, None)
+        if out is not None:
+            for message in list(out.waiting):
+                self._settle(now, out, End(message, i.Outcome.CANCELLED))
+
+    def _forget(self, held: Held) -> None:
+        del self.state.held[held.number]
+        del self.state.numbers[held.call.id]
+
+    def _give_up(self, name: str, again: float | None) -> None:
+        count("given_up_failed" if again is None else "given_up_refused")
+        notice = Notice(name, again)
+        self.effects.append(Append(Decided(notice)))
+        self._owe(notice)
+
+    def _owe(self, notice: Notice) -> None:
+        self.state.owed[notice.id] = notice
+        self.effects.append(Notify((notice,)))
+
+    # --- the module's actions --------------------------------------------------------------------------
+
+    def _decide(self, now: float) -> None:
+        """Ask the module; whatever fails in it must not take its other messages along."""
+        try:
+            actions = self.sender.handle(now, self.news)
+        except Exception as error:
+            if __debug__:
+                raise
+            trouble("module", error)
+            actions = [*self.sender.out, i.SetTimer(AGAIN_AFTER, self.sender.token)]
+        sends: dict[int, list[i.Send]] = {}
+        for a in actions:
+            match a:
+                case i.Send():
+                    sends.setdefault(a.endpoint, []).append(a)
+                case i.Refuse(message=number, retry_after=again):
+                    self._final(number, again)
+                case i.Fail(message=number):
+                    self._final(number, None)
+                case i.Cancel(message=number):
+                    self._cancel(now, number)
+                case i.SetTimer(delay=delay, token=token):
+                    self.effects.append(Wake(now + delay, ModuleTimer(token)))
+                case i.Close(endpoint=worker):
+                    self.effects.append(CloseIdle(worker))
+                case i.Watch():
+                    self.effects.append(WatchFrom(self.state.version))
+                case i.Log(text=text):
+                    self.effects.append(Say(text))
+                case i.Probe():
+                    holds(False, "no_probe_is_asked_for")
+        # Delegations come last: what a round gives up or closes must not be met by what it starts.
+        for worker, asked in sends.items():
+            self._delegate(now, worker, asked)
+
+    def _final(self, number: int, again: float | None) -> None:
+        """The message is over. A delegation that is still out goes on to its own end."""
+        held = self.state.held.get(number)
+        if held is not None:
+            self._forget(held)
+            self._give_up(held.call.id, again)
+        else:
+            holds(False, "one_final_answer")
+
+    def _cancel(self, now: float, number: int) -> None:
+        """One connection, one fate: the others of the same call are called off with it."""
+        held = self.state.held.get(number)
+        out = self.state.outs.get(held.out) if held is not None and held.out is not None else None
+        if out is not None and not out.called_off:
+            out.called_off = True
+            self.effects += [Abandon(out.number), Wake(now, CalledOff(out.number))]
+
+    def _delegate(self, now: float, worker: int, asked: list[i.Send]) -> None:
+        s = self.state
+        if s.stop_at is not None and now > s.stop_at - LAST_START:
+            return  # it could not end in this life; the journal has the message for the next one
+        w = s.workers[worker]
+        kinds = self.settings.kinds
+        batch = kinds[w.kind].batch if w.kind < len(kinds) else 1
+        for first in range(0, len(asked), batch):
+            s.last_delegation += 1
+            out = Out(s.last_delegation, worker, now)
+            parcels = []
+            for a in asked[first : first + batch]:
+                held = s.held[a.message]
+                holds(held.out is None, "one_attempt_at_a_time")
+                holds(held.call.destination == w.destination, "only_to_its_destination")
+                out.waiting[a.message] = held.attempts
+                held.attempts += 1
+                held.out = out.number
+                parcels.append(Parcel(a.message, held.call))
+                self.effects.append(Append(Began(held.call.id, now, w.id)))
+                self.effects.append(Wake(now + a.timeout, TimeUp(out.number, a.message)))
+            s.outs[out.number] = out
+            count("delegations")
+            deadline = now + max(a.timeout for a in asked[first : first + batch])
+            self.effects.append(
+                Delegate(out.number, worker, w.host, w.port, w.destination, tuple(parcels), deadline)
+            )
+
+    # --- the registry --------------------------------------------------------------------------------
+
+    def _worker_number(self, name: str) -> int:
+        return self.state.worker_numbers.setdefault(name, len(self.state.worker_numbers) + 1)
+
+    def _heard(self, e: Heard) -> None:
+        s = self.state
+        s.version = e.version
+        count("registry_news")
+        entries = []
+        named = set()
+        for w in e.workers:
+            number = self._worker_number(w.id)
+            named.add(number)
+            s.workers[number] = w
+            self.effects.append(Bar(number, w.phase is not i.Phase.READY))
+            entries.append(i.Endpoint(number, w.destination, w.phase, w.kind, w.zone, w.weight))
+        if e.full:
+            self.effects += [Bar(number, True) for number in s.workers if number not in named]
+        scope = i.ListScope.FULL if e.full else i.ListScope.DELTA
+        self.news.append(i.Listed(i.ListScope.CACHED if e.known else scope, tuple(entries)))
--- a/nickelscale/interface.py
+++ b/nickelscale/interface.py
@@ -216,9 +216,17 @@
     entries: tuple[Endpoint, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class Tried:
+    """An attempt of an earlier life; `sent` is its time if it may have run, None if it never ran."""
+
+    endpoint: int
+    sent: float | None
+
+
 @dataclass(frozen=True, slots=True)
 class Arrived:
-    """A message was handed in; it is owed one final answer within its budget."""
+    """A message was handed in, or is back after a restart; it is owed one final answer in its budget."""
 
     message: int
     cls: int
@@ -227,6 +235,7 @@
     tenant: int = 0
     key: str | None = None
     size_hint: float = 0.0
+    history: tuple[Tried, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/nickelscale/rules.py
+++ b/nickelscale/rules.py
@@ -14,7 +14,7 @@
 
 from nickelscale.interface import (
     Action, Arrived, Cancel, Close, DedupScope, Effect, Event, Fail, Kind, Listed, ListScope, Log, Outcome,
-    Phase, Probe, Probed, Refuse, Send, SetTimer, Settings, Settled, TimerFired, Watch, Withdrawn,
+    Phase, Probe, Probed, Refuse, Send, SetTimer, Settings, Settled, TimerFired, Tried, Watch, Withdrawn,
 )
 from nickelscale.interface import Endpoint as Entry
 from nickelscale.state import Call, Destination, Endpoint, Message, Route, Turn
@@ -141,16 +141,33 @@
             self._at(max(self.now, m.aim_at - self._cost(m)), self._grow_late, m)
         else:
             m.late = True
+        if e.history and not self._resume(m, e.history):
+            return
         self._queue(m)
         if self.held > FULL_SHARE * self.set.max_open:
             self._shed()
 
+    def _resume(self, m: Message, history: tuple[Tried, ...]) -> bool:
+        """Attempts of an earlier life count, and rule 2 binds over a restart; whether the message goes on."""
+        m.sends, m.last = len(history), history[-1].endpoint
+        m.maybe = {n: t.sent for n, t in enumerate(history) if t.sent is not None}
+        ran = next((self.endpoints.get(t.endpoint) for t in history if t.sent is not None), None)
+        m.zone = ran.zone if ran is not None else 0
+        if m.sends >= self.set.max_attempts or not may_repeat(m, self.now):
+            self._give_up(m)
+        elif m.maybe and m.cls.effect is Effect.BY_KEY:
+            self._at(repeat_until(m), self._window_over, m)
+        return not m.ended
+
     def _settled(self, e: Settled) -> None:
         m = self.messages.get(e.message)
         call = m.out.pop(e.attempt, None) if m else None
         if m is None or call is None:
             return
         first = self._leave(m, call)
+        if e.wait > 0:  # rule 6 binds whatever the outcome that told it
+            route = call.endpoint.route
+            route.wait_until = max(route.wait_until, self.now + e.wait)
         if e.outcome.never_ran:
             m.maybe.pop(e.attempt, None)
         if e.outcome in (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED) and m.key is not None:
