--- a/juniperward/journal.py
+++ b/juniperward/journal.py
@@ -121,6 +121,7 @@
         self.live_bytes = 0
         self.size = 0
         self.file = -1
+        self.torn = False  # the latest write did not come to its end
         self._replay()
         self._rewrite()
 
@@ -138,8 +139,12 @@
             return  # of a message that is over already
         if self.size + len(line) > max(SLACK, 2 * self.live_bytes):
             self._rewrite()
-        self._write(self.file, line)
+        # A record must not be written on to the rest of one that failed, or both would be lost.
+        line = b"\n" + line if self.torn else line
+        self.torn = True
         self.size += len(line)
+        self._write(self.file, line)
+        self.torn = False
         self._note(record, len(line))
         count("journal_records")
 
@@ -194,7 +199,7 @@
             raise
         if self.file >= 0:
             os.close(self.file)
-        self.file, self.size = fresh, len(data)
+        self.file, self.size, self.torn = fresh, len(data), False
         count("journal_rewrites")
 
     @staticmethod
