--- a/juniperward/counters.py
+++ b/juniperward/counters.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import sys
 import threading
 import time
@@ -64,4 +65,5 @@
 def report() -> None:
     """Print all counters in one line."""
     text = " ".join(f"{name}={value}" for name, value in counters().items())
-    print(f"juniperward: counters: {text}", file=sys.stderr, flush=True)
+    with contextlib.suppress(OSError, ValueError):
+        print(f"juniperward: counters: {text}", file=sys.stderr, flush=True)
--- a/juniperward/journal.py
+++ b/juniperward/journal.py
@@ -21,8 +21,7 @@
 BLOCK = 512  # the disk is counted in whole blocks
 LIVE_PART = 0.3  # part of the disk that messages not yet over may fill; a rewrite doubles it for a moment
 SLACK = 65536  # a file is not rewritten for less than this
-NOTE = 256  # room for one record without a body
-NOTES = 24  # records kept room for with each message: its delegations, their ends, its own end
+DELEGATIONS, NOTE = 9, 180  # room kept with each message: for so many delegations, each with its end
 
 
 class JournalFull(Exception):
@@ -133,7 +132,7 @@
         """Write a record; raises JournalFull for a message that there is no safe room for, or OSError."""
         line = encode(record, self.to_unix)
         if isinstance(record, Taken):
-            if self.live_bytes + len(line) + NOTE * NOTES > LIVE_PART * self.disk:
+            if self.live_bytes + self._room(record, len(line)) > LIVE_PART * self.disk:
                 raise JournalFull
         elif self._name(record) not in self.live:
             return  # of a message that is over already
@@ -152,6 +151,11 @@
         """Let go of the file."""
         os.close(self.file)
 
+    @staticmethod
+    def _room(record: Taken, length: int) -> int:
+        """What a message may come to fill until it is over."""
+        return length + DELEGATIONS * (NOTE + 2 * len(record.call.id))
+
     @staticmethod
     def _name(record: Record) -> str:
         match record:
@@ -166,8 +170,9 @@
         self.ledger.apply(record)
         name = self._name(record)
         if isinstance(record, Taken):
-            self.live_bytes += length + NOTE * NOTES - self.live.get(name, 0)
-            self.live[name] = length + NOTE * NOTES
+            self.live_bytes -= self.live.get(name, 0)
+            self.live[name] = self._room(record, length)
+            self.live_bytes += self.live[name]
         elif isinstance(record, Over):
             self.live_bytes -= self.live.pop(name, 0)
 
--- a/juniperward/net/registry.py
+++ b/juniperward/net/registry.py
@@ -16,7 +16,7 @@
 from juniperward.net import sockets
 from juniperward.net.http import Broken, Malformed, Stream, chunks, encode_request, read_head, read_response
 
-SILENT = 4.5  # seconds without a line after which a watch is dead; one comes every 2
+SILENT = 3.5  # seconds without a line after which a watch is dead; one comes every 2
 DIAL = 1.0
 NOTICE_WAIT = 1.0  # seconds for the answer to notices; it comes straight away
 NOTICE_AGAIN = (0.05, 0.4)  # seconds before notices are handed over again: first, most
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,76 @@
+"""A bad configuration ends the start with one plain line and exit code 2."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+from juniperward.config import ConfigError, address, load
+from tests.player import ROOT, SETTINGS
+
+GOOD: dict[str, Any] = {
+    "name": "n0",
+    "listen": "127.0.0.1:9",
+    "discovery": "127.0.0.1:10",
+    "seed": "8c1f",
+    "limits": {"sockets": 100, "disk_mb": 3},
+    "known": {"version": 1, "full": True, "servers": []},
+    "settings": SETTINGS,
+}
+
+
+class ConfigTest(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = folder.name
+
+    def given(self, value: Any) -> dict[str, str]:
+        path = Path(self.folder) / "config.json"
+        path.write_text(value if isinstance(value, str) else json.dumps(value))
+        return {"ROUTER_CONFIG": str(path), "ROUTER_STATE": self.folder}
+
+    def test_a_good_one_is_read_and_the_environment_goes_first(self) -> None:
+        config = load({**self.given(GOOD), "ROUTER_LISTEN": "127.0.0.2:99"})
+        self.assertEqual((config.listen, config.registry), (("127.0.0.2", 99), ("127.0.0.1", 10)))
+        self.assertEqual((config.seed, config.disk_bytes), (0x8C1F, 3_000_000))
+        self.assertEqual(config.settings.slots, 4)
+
+    def test_what_is_wrong_is_named(self) -> None:
+        bad: tuple[tuple[Any, str], ...] = (
+            ("{", "not JSON"),
+            ([], "list"),
+            ({**GOOD, "listen": "nowhere"}, "nowhere"),
+            ({k: v for k, v in GOOD.items() if k != "settings"}, "settings"),
+            ({**GOOD, "settings": {**SETTINGS, "Specifics": {"MaxCalls": -1}}}, "slots"),
+        )
+        for value, word in bad:
+            with self.subTest(word), self.assertRaisesRegex(ConfigError, word):
+                load(self.given(value))
+        with self.assertRaisesRegex(ConfigError, "no such folder"):
+            load({**self.given(GOOD), "ROUTER_STATE": "/nonesuch"})
+        with self.assertRaisesRegex(ConfigError, "ROUTER_CONFIG"):
+            load({})
+
+    def test_addresses(self) -> None:
+        for text in ("", "a", ":1", "a:", "a:0", "a:70000", "a:-1"):
+            with self.subTest(text), self.assertRaises(ValueError):
+                address(text)
+
+    def test_the_program_says_it_in_one_line(self) -> None:
+        done = subprocess.run(
+            [sys.executable, "-O", "-m", "juniperward"],
+            cwd=ROOT,
+            env={**os.environ, **self.given({**GOOD, "known": {}})},
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        self.assertEqual((done.returncode, len(done.stderr.splitlines())), (2, 1))
+        self.assertIn("'servers' is missing", done.stderr)
--- /dev/null
+++ b/tests/test_journal.py
@@ -0,0 +1,140 @@
+"""The journal alone: what is replayed, what is left out, and how much disk it fills."""
+
+from __future__ import annotations
+
+import os
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from juniperward.journal import BLOCK, FRESH, NAME, Journal, JournalFull
+from juniperward.messages import Began, Call, Decided, Delegated, Ended, Notice, Over, Taken
+
+DISK = 200_000
+
+
+def call(name: str, size: int = 100) -> Call:
+    return Call(name, 0, 1, 7, 0.0, f"k-{name}", bytes(range(256)) * (size // 256 + 1))
+
+
+class JournalTest(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+
+    def open(self, to_unix: float = 1000.0, disk: int = DISK) -> Journal:
+        journal = Journal(self.folder, disk, to_unix)
+        self.addCleanup(os.close, journal.file)
+        return journal
+
+    def used(self) -> int:
+        return sum(-(-p.stat().st_size // BLOCK) * BLOCK for p in self.folder.iterdir())
+
+    def test_everything_of_a_message_comes_back(self) -> None:
+        # Guards the fields that rule 2 needs after a restart: which attempt may have run, where and when.
+        j = self.open()
+        for record in (
+            Taken(call("a"), 20.0),
+            Began("a", 1.5, "s-1"),
+            Ended("a", False),
+            Began("a", 2.5, "s-2"),
+            Taken(call("b"), 21.0),
+            Began("b", 3.0, "s-1"),
+            Ended("b", True),
+            Decided(Notice("b", 0.25)),
+            Taken(call("c"), 22.0),
+            Over("c"),
+        ):
+            j.append(record)
+        a, b = self.open().restored()
+        self.assertEqual((a.call, a.expires), (call("a"), 20.0))
+        self.assertEqual(a.history, (Delegated("s-1", 1.5, False), Delegated("s-2", 2.5, True)))
+        self.assertIsNone(a.notice)
+        self.assertEqual((b.call.id, b.notice), ("b", Notice("b", 0.25)))
+
+    def test_times_move_with_the_clock_of_the_new_process(self) -> None:
+        # Guards the 12 s window over a reboot: monotonic clocks start anew, Unix time goes on.
+        j = self.open(to_unix=1000.0)
+        j.append(Taken(call("a"), 20.0))
+        j.append(Began("a", 1.0, "s-1"))
+        (a,) = self.open(to_unix=1015.0).restored()
+        self.assertEqual((a.expires, a.history[0].at), (5.0, -14.0))
+
+    def test_a_torn_tail_costs_only_itself(self) -> None:
+        # Guards against a process killed within a write, at every byte of it.
+        j = self.open()
+        j.append(Taken(call("a"), 20.0))
+        whole = (self.folder / NAME).read_bytes()
+        j.append(Taken(call("b"), 20.0))
+        both = (self.folder / NAME).read_bytes()
+        for cut in range(len(whole), len(both) - 1, 7):
+            (self.folder / NAME).write_bytes(both[:cut])
+            again = self.open()
+            self.assertEqual([r.call.id for r in again.restored()], ["a"])
+            again.append(Taken(call("c"), 20.0))
+            self.assertEqual([r.call.id for r in self.open().restored()], ["a", "c"])
+
+    def test_a_damaged_line_costs_only_itself(self) -> None:
+        j = self.open()
+        for name in "abc":
+            j.append(Taken(call(name), 20.0))
+        lines = (self.folder / NAME).read_bytes().split(b"\n")
+        lines[1] = lines[1].replace(b"taken", b"token")
+        (self.folder / NAME).write_bytes(b"\n".join(lines))
+        self.assertEqual([r.call.id for r in self.open().restored()], ["a", "c"])
+
+    def test_a_write_cut_short_does_not_spoil_the_next_record(self) -> None:
+        # Guards against a record that joins the rest of one that failed: neither line would match its sum.
+        j = self.open()
+        real = os.write
+
+        def short(file: int, data: bytes) -> int:
+            real(file, bytes(data)[:10])
+            raise OSError(28, "No space left on device")
+
+        with mock.patch("juniperward.journal.os.write", short), self.assertRaises(OSError):
+            j.append(Taken(call("a"), 20.0))
+        j.append(Taken(call("b"), 20.0))
+        self.assertEqual([r.call.id for r in self.open().restored()], ["b"])
+
+    def test_a_rewrite_that_was_cut_off_leaves_the_old_file_in_force(self) -> None:
+        self.open().append(Taken(call("a"), 20.0))
+        (self.folder / FRESH).write_bytes(b"half a")
+        self.assertEqual([r.call.id for r in self.open().restored()], ["a"])
+        self.assertFalse((self.folder / FRESH).exists())
+
+    def test_it_stays_under_its_disk_and_turns_away_what_does_not_fit(self) -> None:
+        # Guards the limit on the folder, old and new file together in whole blocks: over it is a crash.
+        j, most, open_now = self.open(), 0, []
+        real = os.rename
+
+        def look(old: Path, new: Path) -> None:
+            nonlocal most
+            most = max(most, self.used())
+            real(old, new)
+
+        turned_away = 0
+        with mock.patch("juniperward.journal.os.rename", look):
+            for n in range(600):
+                try:
+                    j.append(Taken(call(f"m{n}", 1500), 20.0))
+                    open_now.append(f"m{n}")
+                except JournalFull:
+                    turned_away += 1
+                    for name in open_now:
+                        for _ in range(8):
+                            j.append(Began(name, 1.0, "s-1"))
+                            j.append(Ended(name, False))
+                        j.append(Over(name))
+                    open_now = []
+                most = max(most, self.used())
+        self.assertGreater(turned_away, 5)
+        self.assertGreater(most, DISK // 4)
+        self.assertLessEqual(most, DISK)
+
+    def test_records_of_what_is_over_are_not_written(self) -> None:
+        j = self.open()
+        j.append(Over("nobody"))
+        self.assertEqual((self.folder / NAME).read_bytes(), b"")
--- /dev/null
+++ b/tests/test_reducer.py
@@ -0,0 +1,239 @@
+"""The reducer without sockets: what it asks for, and in which order."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+from juniperward.messages import (
+    Abandon,
+    Answered,
+    Append,
+    Began,
+    Call,
+    CalledOff,
+    Decided,
+    Delegate,
+    Delegated,
+    Effect,
+    End,
+    Ended,
+    Event,
+    Handed,
+    Heard,
+    Hold,
+    Notice,
+    Noticed,
+    Notify,
+    Over,
+    Replayed,
+    Reply,
+    Restored,
+    Stop,
+    TakeOn,
+    TimeUp,
+    TookOn,
+    Wake,
+    Worker,
+)
+from juniperward.reducer import Reducer
+from nickelscale.interface import Kind, Outcome, Phase
+from tests.helpers import KEYED, ONCE, settings
+
+
+def worker(name: str = "s-1", destination: int = 1, phase: Phase = Phase.READY, kind: int = 0) -> Worker:
+    return Worker(name, "127.0.0.1", 81, destination, phase, kind, 0, 0.0)
+
+
+def call(name: str, destination: int = 1, cls: int = 0, left: float = 20.0) -> Call:
+    return Call(name, cls, 0, destination, left, "k", b"body")
+
+
+class ReducerTest(unittest.TestCase):
+    def start(self, *workers: Worker, **changes: Any) -> Reducer:
+        kinds = {"kinds": (Kind(), Kind(batch=20)), "slots": 8}
+        self.reducer = Reducer(settings(KEYED, ONCE, **{**kinds, **changes}), 1)
+        self.now = 100.0
+        self.do(Heard(41, True, workers or (worker(),), known=True))
+        return self.reducer
+
+    def do(self, *events: Event) -> list[Effect]:
+        return self.reducer.reduce(self.now, events)
+
+    def take(self, name: str, told: bool = True, **fields: Any) -> list[Effect]:
+        """Hand a message in and tell its client; what follows that."""
+        (asked,) = self.do(Handed(5, call(name, **fields), self.now))
+        assert isinstance(asked, TakeOn)
+        return self.do(TookOn(asked.message, told))
+
+    def only(self, effects: list[Effect], kind: type) -> list[Any]:
+        return [e for e in effects if isinstance(e, kind)]
+
+    def sent(self, effects: list[Effect]) -> list[list[str]]:
+        return [[p.call.id for p in d.parcels] for d in self.only(effects, Delegate)]
+
+    def end(self, effects: list[Effect], *ends: tuple[Outcome, float]) -> list[Effect]:
+        """The ends of the only delegation among some effects."""
+        (d,) = self.only(effects, Delegate)
+        told = [End(p.message, o, w) for p, (o, w) in zip(d.parcels, ends, strict=True)]
+        return self.do(Answered(d.number, tuple(told)))
+
+    def test_the_journal_has_a_delegation_before_it_starts(self) -> None:
+        # Guards against a call that a killed process made and that its next life does not know of.
+        self.start()
+        effects = self.take("a")
+        kinds = [type(e) for e in effects if isinstance(e, (Append, Delegate))]
+        self.assertEqual(kinds, [Append, Delegate])
+        self.assertEqual(self.only(effects, Append)[0].record, Began("a", 100.0, "s-1"))
+
+    def test_a_message_whose_client_was_not_told_is_withdrawn(self) -> None:
+        self.start()
+        effects = self.take("a", told=False)
+        self.assertEqual(effects, [Append(Over("a"))])
+        self.assertEqual(self.sent(self.take("a")), [["a"]])
+
+    def test_the_same_message_on_a_second_connection_is_ours_already(self) -> None:
+        # Guards the case that our close crosses a request: the client sends it once more.
+        self.start()
+        self.take("a")
+        self.assertEqual(self.do(Handed(6, call("a"), self.now)), [Reply(6, 202)])
+
+    def test_the_door_counts_what_is_held_and_what_is_offered(self) -> None:
+        self.start(max_open=2, slots=8)
+        effects = self.do(*(Handed(n, call(f"m{n}"), self.now) for n in range(3)))
+        self.assertEqual([type(e) for e in effects], [TakeOn, TakeOn, Reply])
+        self.assertEqual(self.only(effects, Reply)[0].status, 503)
+        self.assertGreater(self.only(effects, Reply)[0].retry_after, 0)
+
+    def test_a_message_whose_time_is_up_already_is_turned_away(self) -> None:
+        self.start()
+        self.assertIsInstance(self.do(Handed(1, call("a", left=0.0), self.now))[0], Reply)
+
+    def test_a_delivery_ends_all(self) -> None:
+        self.start()
+        effects = self.end(self.take("a"), (Outcome.OK, 0.0))
+        self.assertEqual(self.only(effects, Append), [Append(Over("a"))])
+        self.assertFalse(self.only(effects, Notify))
+
+    def test_sends_of_a_round_to_one_worker_are_one_call(self) -> None:
+        self.start(worker(kind=1))
+        first = self.take("a")
+        self.do(*self.only(self.end(first, (Outcome.FULL, 0.5)), TimeUp))
+        for name in "bc":
+            self.assertFalse(self.sent(self.take(name)))
+        self.now += 2.0
+        effects = self.do(Heard(42, False, ()))
+        self.assertEqual(self.sent(effects), [["a", "b", "c"]])
+        # What never ran is told first: the module learns from the first end of a call that it hears.
+        effects = self.end(effects, (Outcome.ERROR, 3.0), (Outcome.FULL, 3.0), (Outcome.OK, 3.0))
+        records = [e.record for e in self.only(effects, Append)]
+        self.assertEqual(records, [Ended("b", False), Ended("a", True), Over("c")])
+        self.assertEqual(self.only(effects, Hold)[0], Hold(1, 105.0))
+
+    def test_a_wait_told_with_a_delivery_binds(self) -> None:
+        # Guards the wait that a 200 carries: the module must hear of it though nothing was refused.
+        self.start()
+        self.end(self.take("a"), (Outcome.OK, 5.0))
+        self.now += 1.0
+        self.assertEqual(self.sent(self.take("b")), [])
+
+    def test_a_message_out_to_its_end_is_failed_at_once(self) -> None:
+        self.start()
+        effects = self.take("a", cls=1, left=2.0)
+        (d,) = self.only(effects, Delegate)
+        wake = next(w for w in self.only(effects, Wake) if w.due == TimeUp(d.number, d.parcels[0].message))
+        self.assertEqual((wake.at, d.deadline), (102.0, 102.0))
+        self.now = wake.at
+        effects = self.do(wake.due)
+        self.assertEqual(self.only(effects, Abandon), [Abandon(d.number)])
+        self.assertEqual(self.only(effects, Notify), [Notify((Notice("a"),))])
+        self.assertIn(Append(Decided(Notice("a"))), effects)
+        # An answer that crossed it changes nothing.
+        self.assertEqual(self.do(Answered(d.number, (End(d.parcels[0].message, Outcome.OK),))), [])
+
+    def test_a_notice_is_owed_until_it_is_accepted(self) -> None:
+        self.start()
+        (d,) = self.only(self.take("a", cls=1, left=2.0), Delegate)
+        self.now += 2.0
+        self.do(TimeUp(d.number, d.parcels[0].message))
+        self.assertIn("a", self.reducer.state.owed)
+        self.assertEqual(self.do(Noticed(("a",))), [Append(Over("a"))])
+        self.assertEqual(self.do(Noticed(("a",))), [])
+
+    def test_calling_off_closes_first_and_reports_then(self) -> None:
+        # Guards against a second copy: the connection must have ended before the message may go again.
+        self.start(slots=2)
+        self.do(Heard(42, False, (worker("s-2", 2), worker("s-3", 3))))
+        for destination, name in enumerate("abc", 1):
+            effects = self.take(name, destination=destination)
+        while not (gone := self.only(effects, Abandon)):
+            self.assertLess(self.now, 115.0, "nothing was called off")
+            self.now += 0.25
+            effects = self.do(Heard(43, False, ()))
+        self.assertEqual(self.sent(effects), [])
+        (wake,) = [w for w in self.only(effects, Wake) if isinstance(w.due, CalledOff)]
+        self.assertEqual(wake.due, CalledOff(gone[0].delegation))
+        self.assertEqual(wake.at, self.now)
+        effects = self.do(wake.due)
+        self.assertEqual(self.only(effects, Append)[0].record, Ended("a", True))
+        self.assertEqual(self.sent(effects), [["c"]])
+
+    def test_restored_attempts_count(self) -> None:
+        # Guards `MaxAttempts` over all lives: the sixth of six attempts is the last.
+        self.start()
+        history = tuple(Delegated("s-1", 90.0 + n, False) for n in range(6))
+        effects = self.do(Replayed((Restored(call("a"), 115.0, history),)))
+        self.assertEqual(self.sent(effects), [])
+        self.assertEqual(len(self.only(effects, Notify)), 1)
+        effects = self.do(Replayed((Restored(call("b"), 115.0, history[:5]),)))
+        self.assertEqual(self.sent(effects), [["b"]])
+        effects = self.end(effects, (Outcome.ERROR, 0.0))
+        self.assertEqual(len(self.only(effects, Notify)), 1)
+
+    def test_the_window_of_repeats_holds_over_a_restart(self) -> None:
+        # Guards rule 2: KEYED has a window of 5 s from the first attempt that may have run.
+        self.start()
+        history = (Delegated("s-1", 94.0, True),)
+        effects = self.do(Replayed((Restored(call("late"), 115.0, history),)))
+        self.assertEqual(self.only(effects, Notify), [Notify((Notice("late"),))])
+        history = (Delegated("s-1", 97.0, True),)
+        effects = self.do(Replayed((Restored(call("soon"), 115.0, history),)))
+        self.assertEqual(self.sent(effects), [["soon"]])
+        effects = self.end(effects, (Outcome.FULL, 3.0))
+        self.now = 102.1
+        self.assertEqual(self.only(self.do(Heard(42, False, ())), Notify), [Notify((Notice("soon"),))])
+
+    def test_a_message_that_bears_no_repeat_is_not_sent_by_the_next_life(self) -> None:
+        self.start()
+        ran = Restored(call("ran", cls=1), 115.0, (Delegated("s-1", 99.0, True),))
+        fresh = Restored(call("fresh", cls=1), 115.0, (Delegated("s-1", 99.0, False),))
+        effects = self.do(Replayed((ran, fresh)))
+        self.assertEqual(self.only(effects, Notify), [Notify((Notice("ran"),))])
+        self.assertEqual(self.sent(effects), [["fresh"]])
+
+    def test_what_expired_while_nothing_ran_gets_its_notice(self) -> None:
+        self.start()
+        owed = Restored(call("b"), 200.0, (), Notice("b", 0.5))
+        effects = self.do(Replayed((Restored(call("a"), 99.0), owed)))
+        self.assertEqual(self.only(effects, Notify), [Notify((Notice("a"),)), Notify((Notice("b", 0.5),))])
+        self.assertEqual(self.sent(effects), [])
+
+    def test_nothing_is_started_that_cannot_end_before_the_process(self) -> None:
+        # Guards against calls cut off by our own exit: each could then not be told from one that ran.
+        self.start()
+        self.do(Stop(100.8, 103.3))
+        self.assertEqual([type(e) for e in self.do(Handed(1, call("new"), self.now))], [Reply])
+        held = (Restored(call("a"), 115.0),)
+        effects = self.do(Replayed(held))
+        self.assertEqual(self.sent(effects), [["a"]])
+        self.now = 103.0
+        self.assertFalse(self.reducer.finished(self.now))
+        self.assertEqual(self.sent(self.do(Replayed((Restored(call("b"), 115.0),)))), [])
+        self.end(effects, (Outcome.OK, 0.0))
+        self.assertTrue(self.reducer.finished(self.now))
+
+    def test_what_the_list_no_longer_has_gets_nothing(self) -> None:
+        self.start(worker("s-1"), worker("s-2", 2))
+        self.do(Heard(42, True, (worker("s-2", 2),)))
+        self.assertEqual(self.sent(self.take("a", destination=1)), [])
+        self.assertEqual(self.sent(self.take("b", destination=2)), [["b"]])
