--- a/juniperward/loop.py
+++ b/juniperward/loop.py
@@ -134,7 +134,7 @@
         try:
             self.journal.append(record)
         except JournalFull:
-            count("turned_away_disk")
+            count("overload_replies_disk")
             log("journal", "no room for another message; clients are turned away")
         except OSError as error:
             count("journal_failures")
--- a/juniperward/net/codec.py
+++ b/juniperward/net/codec.py
@@ -1,6 +1,6 @@
 """The client protocol over HTTP, as a codec before the reducer: a second protocol gets one of its own.
 
-It turns a request into a `Call` and an answer of the reducer into bytes; it decides nothing.
+It turns a call into a `Call` and an answer of the reducer into bytes; it decides nothing.
 """
 
 from __future__ import annotations
@@ -10,7 +10,7 @@
 
 from juniperward.config import Names
 from juniperward.messages import Call
-from juniperward.net.http import Request, encode_response
+from juniperward.net.http import HttpCall, encode_response
 
 PATH = "/api"
 MOST_ID = 200
@@ -18,12 +18,12 @@
 
 
 class BadCall(Exception):
-    """The request is HTTP but no message of this protocol; the text tells the client why."""
+    """The call is HTTP but no message of this protocol; the text tells the client why."""
 
 
-def decode_call(request: Request, names: Names) -> Call:
-    """The message that a request hands in."""
-    headers = request.headers
+def decode_call(asked: HttpCall, names: Names) -> Call:
+    """The message that a call hands in."""
+    headers = asked.headers
     name = headers.get("x-correlation-id", "")
     if not name or len(name) > MOST_ID or not name.isascii():
         raise BadCall("X-Correlation-Id: an id of printable characters is needed")
@@ -47,7 +47,7 @@
     if found is None:
         raise BadCall("X-Addressing: dest=NUMBER is needed")
     key = headers.get("idempotency-key")
-    return Call(name, cls, tenant, int(found[1]), left, key, request.body)
+    return Call(name, cls, tenant, int(found[1]), left, key, asked.body)
 
 
 def encode_reply(status: int, retry_after: float, close: bool, text: str = "") -> bytes:
--- a/juniperward/net/http.py
+++ b/juniperward/net/http.py
@@ -26,7 +26,7 @@
 
 
 class Malformed(Exception):
-    """What came is not HTTP as we take it; `status` is the answer to a request of this form."""
+    """What came is not HTTP as we take it; `status` is the answer to a call of this form."""
 
     def __init__(self, status: int, text: str) -> None:
         super().__init__(text)
@@ -34,8 +34,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Request:
-    """A request with its whole body."""
+class HttpCall:
+    """A call with its whole body."""
 
     method: str
     path: str
@@ -137,8 +137,11 @@
     return "close" in words or (version == b"HTTP/1.0" and "keep-alive" not in words)
 
 
-def read_request(stream: Stream) -> Request:
-    """The next request; raises Closed where the other side ends between two."""
+def read_call(stream: Stream, go_on: Callable[[], None] = lambda: None) -> HttpCall:
+    """The next call; raises Closed where the other side ends between two.
+
+    `go_on` is called where the other side waits for a 100 before it sends the body.
+    """
     first = b""
     while not first:
         if not stream.buffer:
@@ -159,9 +162,11 @@
     length = _length(headers) or 0
     if length > MOST_BODY:
         raise Malformed(413, "the body is too large")
+    if headers.get("expect", "").lower() == "100-continue" and len(stream.buffer) < length:
+        go_on()
     body = stream.exactly(length)
     path = target.decode("latin-1").split("?", 1)[0]
-    return Request(method.decode(), path, headers, body, _closes(version, headers))
+    return HttpCall(method.decode(), path, headers, body, _closes(version, headers))
 
 
 def read_head(stream: Stream) -> tuple[int, dict[str, str], bool]:
@@ -228,8 +233,8 @@
             raise Malformed(400, "a chunk does not end where it should")
 
 
-def encode_request(method: str, target: str, host: str, headers: dict[str, str], body: bytes | None) -> bytes:
-    """A request as it is written."""
+def encode_call(method: str, target: str, host: str, headers: dict[str, str], body: bytes | None) -> bytes:
+    """A call as it is written."""
     lines = [f"{method} {target} HTTP/1.1", f"Host: {host}", *(f"{k}: {v}" for k, v in headers.items())]
     if body is not None:
         lines.append(f"Content-Length: {len(body)}")
--- a/juniperward/net/registry.py
+++ b/juniperward/net/registry.py
@@ -14,7 +14,7 @@
 from juniperward.counters import count, log, trouble
 from juniperward.messages import Event, Heard, Notice, Noticed, WatchLost
 from juniperward.net import sockets
-from juniperward.net.http import Broken, Malformed, Stream, chunks, encode_request, read_head, read_response
+from juniperward.net.http import Broken, Malformed, Stream, chunks, encode_call, read_head, read_response
 
 SILENT = 3.5  # seconds without a line after which a watch is dead; one comes every 2
 DIAL = 1.0
@@ -70,7 +70,7 @@
             sockets.connect(*self.address, DIAL, sock)
             sockets.limit(sock, socket.SO_RCVTIMEO, SILENT)
             target = f"/registry/instances?follow=1&since={version}"
-            sock.sendall(encode_request("GET", target, self.host, {}, None))
+            sock.sendall(encode_call("GET", target, self.host, {}, None))
             stream = Stream(sock.recv)
             status, headers, _ = read_head(stream)
             if status != 200 or "chunked" not in headers.get("transfer-encoding", "").lower():
@@ -135,7 +135,7 @@
         sock, stream = connection
         try:
             body = b"".join(_line(n) for n in batch)
-            sock.sendall(encode_request("POST", "/status", self.host, {}, body))
+            sock.sendall(encode_call("POST", "/status", self.host, {}, body))
             answer = read_response(stream)
         except (OSError, Broken, Malformed):
             sock.close()
--- a/juniperward/net/server.py
+++ b/juniperward/net/server.py
@@ -12,14 +12,15 @@
 from juniperward.messages import Event, Handed
 from juniperward.net import sockets
 from juniperward.net.codec import PATH, BadCall, decode_call, encode_reply
-from juniperward.net.http import Broken, Closed, Malformed, Request, Stream, encode_response, read_request
+from juniperward.net.http import Broken, Closed, Malformed, HttpCall, Stream, encode_response, read_call
 
 IDLE = 120.0  # seconds after which a connection that nothing comes on is closed
-STALL = 10.0  # seconds that a request may stand still half read
+STALL = 10.0  # seconds that a call may stand still half read
 PATIENCE = 0.35  # seconds for the reducer's answer; the client waits for 0.4
 LINGER = 0.2  # seconds to read on after a refusal, or a reset could overtake it
 BACK = 1.0  # seconds after which a client that was turned away here may come again
 BACKLOG = 512
+GO_ON = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
 class Client:
@@ -63,7 +64,7 @@
         for client in clients:
             with client.lock:
                 if client.idle:
-                    # Reading ends once what has come is read: a request that crosses this is still answered.
+                    # Reading ends once what has come is read: a call that crosses this is still answered.
                     sockets.shut(client.sock, socket.SHUT_RD)
 
     def close(self) -> None:
@@ -124,7 +125,7 @@
                 self.clients[client.number] = client
         count("clients_accepted")
         if full:
-            count("clients_turned_away")
+            count("overload_replies_connections")
             self._write(client, encode_reply(503, BACK, True, "too many connections"))
             sock.close()
             return
@@ -156,22 +157,22 @@
             client.sock.close()
 
     def _next(self, client: Client, stream: Stream) -> bool:
-        """Read one request and see it answered; whether the connection goes on."""
+        """Read one call and see it answered; whether the connection goes on."""
         self._wait_for_bytes(client, stream)
         try:
-            request = read_request(stream)
+            asked = read_call(stream, lambda: client.sock.sendall(GO_ON))
         except Malformed as error:
-            count("requests_malformed")
+            count("calls_malformed")
             self._write(client, encode_reply(error.status, 0.0, True, str(error)))
             self._linger(client)
             return False
         at = time.monotonic()
-        if request.path == PATH and request.method == "POST":
-            client.close = request.close
-            self._hand_in(client, request, at)
+        if asked.path == PATH and asked.method == "POST":
+            client.close = asked.close
+            self._hand_in(client, asked, at)
         else:
-            client.sock.sendall(self._page(request))
-        if request.close or self.stopping:
+            client.sock.sendall(self._page(asked))
+        if asked.close or self.stopping:
             self._linger(client)
             return False
         return True
@@ -197,12 +198,12 @@
         with client.lock:
             client.idle = False
 
-    def _hand_in(self, client: Client, request: Request, at: float) -> None:
+    def _hand_in(self, client: Client, asked: HttpCall, at: float) -> None:
         try:
-            call = decode_call(request, self.names)
+            call = decode_call(asked, self.names)
         except BadCall as error:
-            count("requests_refused")
-            client.sock.sendall(encode_reply(400, 0.0, request.close or self.stopping, str(error)))
+            count("calls_unreadable")
+            client.sock.sendall(encode_reply(400, 0.0, asked.close or self.stopping, str(error)))
             return
         with client.lock:
             client.answered.clear()
@@ -215,27 +216,27 @@
                 return
             # The reducer is behind; an answer that comes later finds nobody and is withdrawn.
             client.pending = False
-            count("answers_overdue")
-            self._write(client, encode_reply(503, BACK, request.close or self.stopping))
+            count("overload_replies_overdue")
+            self._write(client, encode_reply(503, BACK, asked.close or self.stopping))
 
-    def _page(self, request: Request) -> bytes:
-        close = request.close or self.stopping
+    def _page(self, asked: HttpCall) -> bytes:
+        close = asked.close or self.stopping
         body: bytes
-        if request.path == PATH:
+        if asked.path == PATH:
             status, body = 405, b"use POST\n"
-        elif request.path not in ("/health/ready", "/health/live"):
+        elif asked.path not in ("/health/ready", "/health/live"):
             status, body = 404, b"no such page\n"
-        elif request.method not in ("GET", "HEAD"):
+        elif asked.method not in ("GET", "HEAD"):
             status, body = 405, b"use GET\n"
-        elif request.path == "/health/ready" and (self.stopping or not self.ready):
+        elif asked.path == "/health/ready" and (self.stopping or not self.ready):
             status, body = 503, b"not ready\n"
         else:
             status, body = 200, b"ok\n"
         headers = {"Content-Type": "text/plain; charset=utf-8"}
         if status == 405:
-            headers["Allow"] = "POST" if request.path == PATH else "GET, HEAD"
+            headers["Allow"] = "POST" if asked.path == PATH else "GET, HEAD"
         data = encode_response(status, headers, body, close)
-        return data if request.method != "HEAD" else data[: len(data) - len(body)]
+        return data if asked.method != "HEAD" else data[: len(data) - len(body)]
 
     def _linger(self, client: Client) -> None:
         """End our side, then read on a little: closing with bytes unread resets what was just written."""
--- a/juniperward/net/workers.py
+++ b/juniperward/net/workers.py
@@ -15,7 +15,7 @@
 from juniperward.counters import count, log, trouble
 from juniperward.messages import Answered, Delegate, End, Event
 from juniperward.net import sockets
-from juniperward.net.http import Broken, Malformed, Response, Stream, encode_request, read_response
+from juniperward.net.http import Broken, Malformed, Response, Stream, encode_call, read_response
 from nickelscale.interface import Outcome
 
 KEEP_PART = 0.8  # part of the workers' keepalive after which an idle connection is dropped
@@ -241,7 +241,7 @@
         headers["X-Correlation-Id"] = call.id
         if call.key is not None:
             headers["Idempotency-Key"] = call.key
-        return encode_request("POST", "/receive", host, headers, call.body)
+        return encode_call("POST", "/receive", host, headers, call.body)
     rows = []
     for p in what.parcels:
         row = {"id": p.call.id, "body": base64.b64encode(p.call.body).decode()}
@@ -250,7 +250,7 @@
         rows.append(row)
     headers["Content-Type"] = "application/json"
     body = json.dumps(rows, separators=(",", ":")).encode()
-    return encode_request("POST", "/receive-many", host, headers, body)
+    return encode_call("POST", "/receive-many", host, headers, body)
 
 
 def read_wait(headers: dict[str, str]) -> float:
--- a/juniperward/reducer.py
+++ b/juniperward/reducer.py
@@ -167,7 +167,7 @@
             return
         left = e.at + e.call.time_left - now
         if s.stop_at is not None or left <= 0 or len(s.held) + len(s.offered) >= self.settings.max_open:
-            count("turned_away_stopping" if s.stop_at is not None else "turned_away_full")
+            count("overload_replies_stopping" if s.stop_at is not None else "overload_replies_full")
             self.effects.append(Reply(e.client, 503, DOOR_WAIT))
             return
         s.last_message += 1
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -8,7 +8,7 @@
 
 from juniperward.config import Names
 from juniperward.messages import Answered, Call, Delegate, End, Event, Parcel
-from juniperward.net.http import Response, Stream, read_request, read_response
+from juniperward.net.http import Response, Stream, read_call, read_response
 from juniperward.net.server import Client, Server
 from juniperward.net.workers import Workers, read_ends
 from nickelscale.interface import Outcome
@@ -58,7 +58,7 @@
         answer = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;x\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
         for size in (1, 2, 7):
             pieces = iter([text[n : n + size] for n in range(0, len(text), size)])
-            self.assertEqual(read_request(Stream(lambda _, p=pieces: next(p))).body, b"abc")  # type: ignore[misc]
+            self.assertEqual(read_call(Stream(lambda _, p=pieces: next(p))).body, b"abc")  # type: ignore[misc]
             pieces = iter([answer[n : n + size] for n in range(0, len(answer), size)])
             self.assertEqual(read_response(Stream(lambda _, p=pieces: next(p))).body, b"abcde")  # type: ignore[misc]
 
