One odd event, entry or call no longer costs the others of its round

Read through the release paths: an error in one event ended the whole round (reducer.py reduce), one in starting a call left its messages out for good with their slots (reducer.py _delegate), and one odd entry of the list failed every watch anew since the version never moved on (config.py read_news). Each is now held to itself; more invariants are counted.

--- a/juniperward/config.py
+++ b/juniperward/config.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from typing import Any
 
+from juniperward.counters import count, log
 from juniperward.messages import Worker
 from nickelscale.benchlink import settings_from
 from nickelscale.interface import Phase, Settings
@@ -63,26 +64,33 @@
 
 
 def read_news(value: Any, names: Names) -> News:
-    """Decode one object of the registry's list; entries that make no sense fail the whole."""
+    """Decode one object of the registry's list; an entry that makes no sense is left out."""
     workers = []
     for entry in value["servers"]:
-        host, port = address(entry["addr"])
-        kind, zone = entry.get("kind"), entry.get("zone")
-        workers.append(
-            Worker(
-                id=str(entry["id"]),
-                host=host,
-                port=port,
-                destination=int(entry["cell"]),
-                phase=PHASES[entry["state"]],
-                kind=names.kinds.index(kind) if kind in names.kinds else 0,
-                zone=names.zones.index(zone) if zone in names.zones else 0,
-                weight=float(entry.get("weight") or 0.0),
-            )
-        )
+        try:
+            workers.append(_read_worker(entry, names))
+        except (KeyError, ValueError, TypeError, AttributeError) as error:
+            # It would come again with every watch: failing the whole would leave us without any news.
+            count("registry_entries_unread")
+            log("registry", f"an entry that cannot be read: {type(error).__name__}: {error}")
     return News(int(value["version"]), bool(value["full"]), tuple(workers))
 
 
+def _read_worker(entry: Any, names: Names) -> Worker:
+    host, port = address(entry["addr"])
+    kind, zone = entry.get("kind"), entry.get("zone")
+    return Worker(
+        id=str(entry["id"]),
+        host=host,
+        port=port,
+        destination=int(entry["cell"]),
+        phase=PHASES[entry["state"]],
+        kind=names.kinds.index(kind) if kind in names.kinds else 0,
+        zone=names.zones.index(zone) if zone in names.zones else 0,
+        weight=float(entry.get("weight") or 0.0),
+    )
+
+
 def load(environment: Mapping[str, str]) -> Config:
     """Read everything; raises ConfigError with one plain line."""
     path = environment.get("ROUTER_CONFIG")
--- a/juniperward/net/sockets.py
+++ b/juniperward/net/sockets.py
@@ -17,7 +17,10 @@
     """Connect within a time limit; raises OSError."""
     limit(sock, socket.SO_SNDTIMEO, seconds)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.connect((host, port))
+    try:
+        sock.connect((host, port))
+    except BlockingIOError:
+        raise TimeoutError("no connection in time") from None
 
 
 def ended(sock: socket.socket) -> bool:
--- a/juniperward/net/workers.py
+++ b/juniperward/net/workers.py
@@ -18,7 +18,7 @@
 from juniperward.net.http import Broken, Malformed, Response, Stream, encode_call, read_response
 from nickelscale.interface import Outcome
 
-KEEP_PART = 0.8  # part of the workers' keepalive after which an idle connection is dropped
+KEEP_PART = 0.9  # part of the workers' keepalive after which an idle connection is not used any more
 LONGEST = 60.0  # seconds after which a read ends whatever the reducer forgot
 STATES = {
     "ok": (Outcome.OK, False),
--- a/juniperward/reducer.py
+++ b/juniperward/reducer.py
@@ -112,7 +112,12 @@
         """Take in all events of a round; the effects are to be carried out in their order."""
         self.effects, self.news = [], []
         for event in events:
-            self._take(now, event)
+            try:
+                self._take(now, event)
+            except Exception as error:  # one event must not take the others of its round along
+                if __debug__:
+                    raise
+                trouble(type(event).__name__, error)
         if self.news:
             self._decide(now)
         return self.effects
@@ -186,6 +191,7 @@
             return
         count("taken_on")
         s.held[number] = held
+        holds(len(s.held) <= self.settings.max_open, "no_more_held_than_max_open")
         c = held.call
         left = max(held.expires - now, 0.0)
         self.news.append(i.Arrived(number, c.cls, c.destination, left, c.tenant, c.key))
@@ -344,24 +350,34 @@
         batch = kinds[w.kind].batch if w.kind < len(kinds) else 1
         for first in range(0, len(asked), batch):
             s.last_delegation += 1
-            out = Out(s.last_delegation, worker, now)
-            parcels = []
-            for a in asked[first : first + batch]:
-                held = s.held[a.message]
-                holds(held.out is None, "one_attempt_at_a_time")
-                holds(held.call.destination == w.destination, "only_to_its_destination")
-                out.waiting[a.message] = held.attempts
-                held.attempts += 1
-                held.out = out.number
-                parcels.append(Parcel(a.message, held.call))
-                self.effects.append(Append(Began(held.call.id, now, w.id)))
-                self.effects.append(Wake(now + a.timeout, TimeUp(out.number, a.message)))
-            s.outs[out.number] = out
-            count("delegations")
-            deadline = now + max(a.timeout for a in asked[first : first + batch])
-            self.effects.append(
-                Delegate(out.number, worker, w.host, w.port, w.destination, tuple(parcels), deadline)
-            )
+            out = s.outs[s.last_delegation] = Out(s.last_delegation, worker, now)
+            try:
+                self._start(now, out, w, asked[first : first + batch])
+            except Exception as error:
+                if __debug__:
+                    raise
+                trouble("delegation", error)
+                self.effects.append(Wake(now, CalledOff(out.number)))
+
+    def _start(self, now: float, out: Out, w: Worker, asked: list[i.Send]) -> None:
+        """Journal the attempts of one call, then make it."""
+        parcels = []
+        for a in asked:
+            held = self.state.held[a.message]
+            holds(held.out is None, "one_attempt_at_a_time")
+            holds(held.call.destination == w.destination, "only_to_its_destination")
+            out.waiting[a.message] = held.attempts
+            held.attempts += 1
+            held.out = out.number
+            parcels.append(Parcel(a.message, held.call))
+            self.effects.append(Append(Began(held.call.id, now, w.id)))
+            self.effects.append(Wake(now + a.timeout, TimeUp(out.number, a.message)))
+        holds(len(self.state.outs) <= self.settings.slots, "no_more_calls_than_slots")
+        count("delegations")
+        deadline = now + max(a.timeout for a in asked)
+        self.effects.append(
+            Delegate(out.number, out.worker, w.host, w.port, w.destination, tuple(parcels), deadline)
+        )
 
     # --- the registry --------------------------------------------------------------------------------
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -58,6 +58,13 @@
         with self.assertRaisesRegex(ConfigError, "ROUTER_CONFIG"):
             load({})
 
+    def test_one_odd_entry_does_not_cost_the_list(self) -> None:
+        # Guards against news that fail for good: the same entry comes again with every watch.
+        entry = {"id": "s-1", "addr": "127.0.0.1:81", "cell": 7, "state": "Ready", "kind": "small-partners"}
+        odd = ({**entry, "state": "Odd"}, {**entry, "addr": "x"}, "text", {**entry, "id": "s-2"})
+        config = load(self.given({**GOOD, "known": {"version": 1, "full": True, "servers": odd}}))
+        self.assertEqual([(w.id, w.kind) for w in config.known.workers], [("s-2", 1)])
+
     def test_addresses(self) -> None:
         for text in ("", "a", ":1", "a:", "a:0", "a:70000", "a:-1"):
             with self.subTest(text), self.assertRaises(ValueError):
