--- a/tests/player.py
+++ b/tests/player.py
@@ -5,8 +5,9 @@
 us; the registry's connections are told apart by the first letter they write: `registry GET` or `registry
 POST`). `> TEXT` is written to the forwarder, `< TEXT` is what it must write; both end with a line end (CR LF)
 unless the line closes with a backslash. `<~ REGEX` matches one line instead. `= end` expects the forwarder to
-end the connection, `= close` closes ours, `= silent` expects that nothing has come on it. `! stop` and
-`! restart` signal the forwarder and start it anew in the same folder. `+ NAME ARGS` plays the file NAME.block
+end the connection, `= close` closes ours, `= silent` expects that nothing has come on it. `! stop`
+sends SIGTERM, `! ended` expects that it exits with 0 in the time that it has, `! start` starts it in the same
+folder, and `! restart` kills it and does so. `+ NAME ARGS` plays the file NAME.block
 with its arguments put in for $1, $2 and so on.
 """
 
@@ -104,17 +105,16 @@
                 return
         raise AssertionError("it did not start")
 
-    def end(self, how: int = signal.SIGKILL) -> str:
-        """End it by a signal; what it wrote since."""
+    def end(self) -> None:
+        """Kill it, if it still runs."""
         assert self.process is not None and self.process.stderr is not None
-        self.process.send_signal(how)
-        text = self.process.stderr.read().decode()
+        self.process.kill()
         self.process.wait(WAIT)
         self.process.stderr.close()
-        return text
+        self.process = None
 
     def close(self) -> None:
-        if self.process is not None and self.process.poll() is None:
+        if self.process is not None:
             self.end()
         self.worker.close()
         self.registry.close()
@@ -217,12 +217,18 @@
         return found[0]
 
     def _signal(self, what: str) -> None:
+        if what == "start":
+            self.program.start()
+            return
         assert self.program.process is not None
         if what == "restart":
-            self.program.end(signal.SIGKILL)
+            self.program.end()
             self.program.start()
         elif what == "stop":
             self.program.process.send_signal(signal.SIGTERM)
+        elif what == "ended":
+            assert self.program.process.wait(3.7) == 0, "it did not exit with 0"
+            self.program.end()
 
 
 def _bytes(text: str) -> bytes:
