While stopping, wait for the first call of a connection instead of closing it as idle

At fault: server.py _wait_for_bytes and stop took a connection without a call so far for an idle one and closed it, which crosses the call that its client is about to write. Now only one that has had an answer counts as idle. The exchange opens a connection before the stop and uses it after: it fails without the change and passes with it. The player gives up on a registry connection that never comes, which it waited for without end before.

--- a/juniperward/net/server.py
+++ b/juniperward/net/server.py
@@ -32,6 +32,7 @@
         self.answered = threading.Event()
         self.pending = False
         self.idle = True
+        self.served = False  # it has had an answer; a fresh one is owed the wait for its first call
         self.close = False  # as the client asked
 
 
@@ -63,7 +64,7 @@
             clients = list(self.clients.values())
         for client in clients:
             with client.lock:
-                if client.idle:
+                if client.idle and client.served:
                     # Reading ends once what has come is read: a call that crosses this is still answered.
                     sockets.shut(client.sock, socket.SHUT_RD)
 
@@ -166,7 +167,7 @@
             self._write(client, encode_reply(error.status, 0.0, True, str(error)))
             self._linger(client)
             return False
-        at = time.monotonic()
+        at, client.served = time.monotonic(), True
         if asked.path == PATH and asked.method == "POST":
             client.close = asked.close
             self._hand_in(client, asked, at)
@@ -180,7 +181,7 @@
     def _wait_for_bytes(self, client: Client, stream: Stream) -> None:
         with client.lock:
             client.idle = True
-        if self.stopping and not stream.buffer and sockets.quiet(client.sock):
+        if self.stopping and client.served and not stream.buffer and sockets.quiet(client.sock):
             raise Closed
         began = time.monotonic()
         while not stream.buffer:
--- a/tests/player.py
+++ b/tests/player.py
@@ -22,6 +22,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 from pathlib import Path
 from typing import Any
 
@@ -210,7 +211,9 @@
         if who == "worker":
             return self.program.worker.accept()[0]
         letter = who.removeprefix("registry ")[:1].encode()
+        until = time.monotonic() + WAIT
         while not (found := [s for s in self.parked if s.recv(1, socket.MSG_PEEK) == letter]):
+            assert time.monotonic() < until, "no such connection comes"
             self.parked.append(self.program.registry.accept()[0])
             self.parked[-1].settimeout(WAIT)
         self.parked.remove(found[0])
