--- a/juniperward/__main__.py
+++ b/juniperward/__main__.py
@@ -17,9 +17,10 @@
 from juniperward.net.server import Server
 from juniperward.net.workers import Workers
 from juniperward.reducer import Reducer
+from juniperward.reload import Reloader
 
 STACK = 128 * 1024  # bytes for each thread; docs/architecture.md has the measurement
-SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGUSR1}
+SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP}
 STOP_WITHIN = 3.3  # seconds from SIGTERM to the end; SIGKILL follows after 3.7
 STILL_OPEN = 0.8  # seconds from SIGTERM for which new connections are answered
 
@@ -44,7 +45,6 @@
 
 def run(config: Config) -> int:
     """Serve until a signal ends it."""
-    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
     threading.stack_size(STACK)
     loop = build(config)
     done = threading.Event()
@@ -66,8 +66,17 @@
     thread.start()
     loop.server.start()
     log("start", f"{config.name} serves on {config.listen[0]}:{config.listen[1]}, {len(restored)} restored")
-    while (got := signal.sigwait(SIGNALS)) == signal.SIGUSR1:
-        report()
+    log("start", f"the registry is at {config.registry[0]}:{config.registry[1]}")
+    reloader = Reloader(config, os.environ)
+    while (got := signal.sigwait(SIGNALS)) in (signal.SIGUSR1, signal.SIGHUP):
+        if got == signal.SIGUSR1:
+            report()
+            continue
+        try:
+            if (moved := reloader.again()) is not None:
+                loop.post(moved)
+        except Exception as error:
+            trouble("reload", error)
     began = time.monotonic()
     log("stop", f"{signal.Signals(got).name}: new messages are turned away from now on")
     count("stops")
@@ -85,6 +94,8 @@
 
 def main() -> int:
     """The exit code: 0 stopped, 2 a configuration that cannot be used, 1 anything else at the start."""
+    # From the very start: a SIGHUP before its handling would kill the process.
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
     try:
         config = load(os.environ)
     except ConfigError as error:
--- a/juniperward/config.py
+++ b/juniperward/config.py
@@ -25,6 +25,7 @@
     """The settings' names, by which clients and the registry speak; their places are the module's numbers."""
 
     classes: tuple[str, ...]
+    deadlines: tuple[float, ...]  # of the classes: no message has longer
     tenants: tuple[str, ...]
     kinds: tuple[str, ...]
     zones: tuple[str, ...]
@@ -106,7 +107,7 @@
         return _from_json(given, environment)
     except KeyError as error:
         raise ConfigError(f"{path}: {error.args[0]!r} is missing") from error
-    except (ValueError, TypeError, AttributeError) as error:
+    except (ValueError, TypeError, AttributeError, ArithmeticError) as error:
         raise ConfigError(f"{path}: {error}") from error
 
 
@@ -114,6 +115,7 @@
     raw = given["settings"]
     names = Names(
         classes=tuple(c["Name"] for c in raw["Services"]),
+        deadlines=tuple(float(c["DeadlineMs"]) / 1000 for c in raw["Services"]),
         tenants=tuple(t["Name"] for t in raw.get("Tenants") or ()),
         kinds=tuple(raw.get("Kinds") or ()),
         zones=tuple(raw.get("FailureDomains") or ()),
--- a/juniperward/loop.py
+++ b/juniperward/loop.py
@@ -18,7 +18,9 @@
     Due,
     Effect,
     Event,
+    ForgetWorker,
     Hold,
+    MoveTo,
     Notify,
     Record,
     Reply,
@@ -119,8 +121,12 @@
                 self.workers.bar(worker, barred)
             case Hold(destination=destination, until=until):
                 self.workers.hold(destination, until)
-            case WatchFrom(version=version):
-                self.registry.watch(version)
+            case ForgetWorker(worker=worker):
+                self.workers.forget(worker)
+            case WatchFrom(version=version, epoch=epoch):
+                self.registry.watch(version, epoch)
+            case MoveTo(registry=address, epoch=epoch):
+                self.registry.move(address, epoch)
             case Notify(notices=notices):
                 self.registry.notify(notices)
             case Wake(at=at, due=due):
--- a/juniperward/messages.py
+++ b/juniperward/messages.py
@@ -168,12 +168,22 @@
     full: bool
     workers: tuple[Worker, ...]
     known: bool = False
+    epoch: int = 0  # how often the registry had moved when the watch began
 
 
 @dataclass(frozen=True, slots=True)
 class WatchLost:
     """The watch failed or ended."""
 
+    epoch: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Moved:
+    """The configuration names this address of the registry from now on."""
+
+    registry: tuple[str, int]
+
 
 @dataclass(frozen=True, slots=True)
 class Noticed:
@@ -213,7 +223,7 @@
 
 
 Due = ModuleTimer | TimeUp | CalledOff
-Event = Replayed | Handed | TookOn | Answered | Heard | WatchLost | Noticed | Due | Stop
+Event = Replayed | Handed | TookOn | Answered | Heard | WatchLost | Moved | Noticed | Due | Stop
 
 # --- effects -----------------------------------------------------------------------------------------
 
@@ -299,6 +309,22 @@
     """Watch the registry for what changed after a version."""
 
     version: int
+    epoch: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class MoveTo:
+    """Leave the registry's old address, with the watch and the notices; go on at the new one."""
+
+    registry: tuple[str, int]
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class ForgetWorker:
+    """A worker is gone and nothing of it is out: keep nothing of it."""
+
+    worker: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -324,5 +350,6 @@
 
 
 Effect = (
-    TakeOn | Reply | Append | Delegate | Abandon | CloseIdle | Bar | Hold | WatchFrom | Notify | Wake | Say
+    TakeOn | Reply | Append | Delegate | Abandon | CloseIdle | Bar | ForgetWorker | Hold | WatchFrom | MoveTo
+    | Notify | Wake | Say
 )
--- a/juniperward/net/codec.py
+++ b/juniperward/net/codec.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import math
 import re
 
 from juniperward.config import Names
@@ -13,7 +12,8 @@
 from juniperward.net.http import HttpCall, encode_response
 
 PATH = "/api"
-MOST_ID = 200
+ID = re.compile(r"[!-+\--~]{1,200}")  # printable, and no comma: that is how repeated headers are joined
+SECONDS = re.compile(r"[0-9]{1,9}(?:\.[0-9]{0,9})?")  # float() takes far more
 DESTINATION = re.compile(r"(?:^|[;,\s])dest\s*=\s*([0-9]{1,15})(?=$|[;,\s])")
 
 
@@ -25,7 +25,7 @@
     """The message that a call hands in."""
     headers = asked.headers
     name = headers.get("x-correlation-id", "")
-    if not name or len(name) > MOST_ID or not name.isascii():
+    if not ID.fullmatch(name):
         raise BadCall("X-Correlation-Id: an id of printable characters is needed")
     try:
         cls = names.classes.index(headers.get("x-service-class", ""))
@@ -37,12 +37,10 @@
             tenant = names.tenants.index(headers.get("x-account", ""))
         except ValueError:
             raise BadCall("X-Account: no such account") from None
-    try:
-        left = float(headers.get("x-time-left", ""))
-    except ValueError:
-        left = math.nan
-    if not 0 <= left < 1e7:
+    text = headers.get("x-time-left", "")
+    if not SECONDS.fullmatch(text):
         raise BadCall("X-Time-Left: seconds are needed")
+    left = min(float(text), names.deadlines[cls])
     found = DESTINATION.search(headers.get("x-addressing", ""))
     if found is None:
         raise BadCall("X-Addressing: dest=NUMBER is needed")
--- a/juniperward/net/http.py
+++ b/juniperward/net/http.py
@@ -2,16 +2,21 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
-MOST_HEAD, MOST_BODY, MOST_LINE = 16 * 1024, 64 * 1024, 1024 * 1024
+MOST_HEAD, MOST_BODY, MOST_CHUNK = 16 * 1024, 64 * 1024, 1024 * 1024
+MOST_INTERIM = 16  # 1xx answers ahead of one that counts
 REASONS = {
     200: "OK", 202: "Accepted", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
     408: "Request Timeout", 411: "Length Required", 413: "Content Too Large",
     431: "Request Header Fields Too Large", 500: "Internal Server Error", 503: "Service Unavailable",
     505: "HTTP Version Not Supported",
 }  # fmt: skip
+STATUS, HEX = re.compile(rb"[1-9][0-9]{2}"), re.compile(rb"[0-9A-Fa-f]{1,8}")  # int() takes far more
+ONCE = ("content-length", "transfer-encoding", "host", "x-correlation-id", "x-time-left", "retry-after")
+VERSIONS = (b"HTTP/1.1", b"HTTP/1.0")
 TOKEN = frozenset(b"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ")
 
 
@@ -25,6 +30,10 @@
     status: int | None = None
 
 
+class Overdue(Broken):
+    """A message was not whole in its time."""
+
+
 class Malformed(Exception):
     """What came is not HTTP as we take it; `status` is the answer to a call of this form."""
 
@@ -64,7 +73,9 @@
     def _more(self) -> None:
         try:
             data = self.receive(16384)
-        except (ConnectionError, TimeoutError, BlockingIOError) as error:
+        except (TimeoutError, BlockingIOError) as error:
+            raise Overdue("not whole in its time") from error
+        except ConnectionError as error:
             raise Broken(str(error)) from error
         if not data:
             raise Broken("closed")
@@ -95,6 +106,8 @@
         try:
             while len(self.buffer) <= most:
                 self._more()
+        except Overdue:
+            raise
         except Broken:
             data = bytes(self.buffer)
             self.buffer.clear()
@@ -115,8 +128,8 @@
         key, text = name.decode("ascii").lower(), value.strip(b" \t").decode("latin-1")
         if any(c < " " and c != "\t" for c in text):
             raise Malformed(400, "a header has control characters")
-        if headers.get(key, text) != text:
-            if key in ("content-length", "transfer-encoding", "host"):
+        if key in headers:
+            if key in ONCE:
                 raise Malformed(400, f"{key} stands twice")
             text = f"{headers[key]}, {text}"
         headers[key] = text
@@ -147,6 +160,8 @@
         if not stream.buffer:
             try:
                 stream._more()
+            except Overdue:
+                raise
             except Broken as error:
                 raise Closed from error
         first = stream.line(MOST_HEAD, 431)
@@ -154,7 +169,7 @@
     if len(parts) != 3 or not parts[0] or not TOKEN.issuperset(parts[0]) or not parts[1].startswith(b"/"):
         raise Malformed(400, "the request line is malformed")
     method, target, version = parts
-    if version not in (b"HTTP/1.1", b"HTTP/1.0"):
+    if version not in VERSIONS:
         raise Malformed(505 if version.startswith(b"HTTP/") else 400, "not HTTP/1.1")
     headers = _headers(stream)
     if "transfer-encoding" in headers:
@@ -169,18 +184,28 @@
     return HttpCall(method.decode(), path, headers, body, _closes(version, headers))
 
 
-def read_head(stream: Stream) -> tuple[int, dict[str, str], bool]:
-    """Status, headers and whether the connection ends, of a response; 1xx are passed over."""
+def read_head(
+    stream: Stream, begun: Callable[[bool], None] = lambda _: None
+) -> tuple[int, dict[str, str], bool]:
+    """Status, headers and whether the connection ends, of a response; a few 1xx are passed over.
+
+    `begun` is told whether a head has begun: before, its writer may take its time, then no more.
+    """
     status: int | None = None
     try:
-        while True:
+        for _ in range(MOST_INTERIM + 1):
+            begun(False)
+            if not stream.buffer:
+                stream._more()
+            begun(True)
             parts = stream.line(MOST_HEAD, 400).split(b" ", 2)
-            if len(parts) < 2 or not parts[0].startswith(b"HTTP/1.") or not parts[1].isdigit():
+            if len(parts) < 2 or parts[0] not in VERSIONS or not STATUS.fullmatch(parts[1]):
                 raise Malformed(400, "the status line is malformed")
             status = int(parts[1])
             headers = _headers(stream)
             if status >= 200:
                 return status, headers, _closes(parts[0], headers)
+        raise Malformed(400, "no end of interim answers")
     except (Broken, Malformed) as error:
         if status is None:
             raise
@@ -189,24 +214,26 @@
         raise broken from error
 
 
-def read_response(stream: Stream) -> Response:
-    """A whole response."""
-    status, headers, close = read_head(stream)
+def read_response(stream: Stream, begun: Callable[[bool], None] = lambda _: None) -> Response:
+    """A whole response; `begun` as in `read_head`."""
+    status, headers, close = read_head(stream, begun)
     try:
         if status in (204, 304):
             body = b""
-        elif "chunked" in headers.get("transfer-encoding", "").lower():
+        elif "transfer-encoding" in headers:
+            if headers["transfer-encoding"].lower() != "chunked" or "content-length" in headers:
+                raise Malformed(400, "the length of the body is not clear")
             body = b""
-            for chunk in chunks(stream):
+            for chunk in chunks(stream, MOST_BODY):
                 body += chunk
-                if len(body) > MOST_LINE:
+                if len(body) > MOST_BODY:
                     raise Malformed(413, "the body is too large")
         elif (length := _length(headers)) is not None:
-            if length > MOST_LINE:
+            if length > MOST_BODY:
                 raise Malformed(413, "the body is too large")
             body = stream.exactly(length)
         else:
-            body, close = stream.rest(MOST_LINE), True
+            body, close = stream.rest(MOST_BODY), True
     except (Broken, Malformed) as error:
         broken = Broken(str(error))
         broken.status = status
@@ -214,19 +241,15 @@
     return Response(status, headers, body, close)
 
 
-def chunks(stream: Stream) -> Iterator[bytes]:
+def chunks(stream: Stream, most: int = MOST_CHUNK) -> Iterator[bytes]:
     """The pieces of a chunked body, until its last."""
     while True:
         size = stream.line(256, 400).split(b";", 1)[0].strip()
-        try:
-            length = int(size, 16)
-        except ValueError:
-            length = -1
-        if not 0 <= length <= MOST_LINE:
+        length = int(size, 16) if HEX.fullmatch(size) else -1
+        if not 0 <= length <= most:
             raise Malformed(400, "a chunk's size is malformed")
         if length == 0:
-            while stream.line(MOST_HEAD, 431):
-                pass
+            _headers(stream)
             return
         yield stream.exactly(length)
         if stream.line(2, 400):
--- a/juniperward/net/registry.py
+++ b/juniperward/net/registry.py
@@ -23,16 +23,18 @@
 NOTICES_AT_ONCE = 200
 MOST_LINE = 4 * 1024 * 1024
 
-Link = tuple[socket.socket, Stream]
+Link = tuple[socket.socket, Stream, str]
 
 
 class Registry:
-    """Owns the watch and the notices' connection, a thread for each."""
+    """Owns the watch and the notices' connection, a thread for each; `lock` guards where they go."""
 
     def __init__(self, address: tuple[str, int], names: Names, post: Callable[[Event], None]) -> None:
         self.address, self.names, self.post = address, names, post
-        self.host = f"{address[0]}:{address[1]}"
-        self.wanted: queue.SimpleQueue[int] = queue.SimpleQueue()
+        self.epoch = 0  # how often the address has changed
+        self.lock = threading.Lock()
+        self.open: dict[str, socket.socket] = {}  # of the watch, of the notices
+        self.wanted: queue.SimpleQueue[tuple[int, int]] = queue.SimpleQueue()
         self.notices: queue.SimpleQueue[Notice] = queue.SimpleQueue()
 
     def start(self) -> None:
@@ -40,22 +42,39 @@
         threading.Thread(target=self._watches, name="registry", daemon=True).start()
         threading.Thread(target=self._notify, name="notices", daemon=True).start()
 
-    def watch(self, version: int) -> None:
+    def watch(self, version: int, epoch: int) -> None:
         """Watch for what changed after a version; WatchLost reports its end."""
-        self.wanted.put(version)
+        self.wanted.put((version, epoch))
+
+    def move(self, address: tuple[str, int], epoch: int) -> None:
+        """End what is open to the old address, also where it is still being opened; notices go again."""
+        with self.lock:
+            self.address, self.epoch = address, epoch
+            for sock in self.open.values():
+                sockets.shut(sock)
 
     def notify(self, notices: tuple[Notice, ...]) -> None:
         """Hand notices over until they are accepted."""
         for notice in notices:
             self.notices.put(notice)
 
+    def _socket(self, use: str, epoch: int | None = None) -> tuple[socket.socket, tuple[str, int]]:
+        """A fresh socket that `move` knows of, and the address it is for."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        with self.lock:
+            if epoch is None or epoch == self.epoch:
+                self.open[use] = sock
+                return sock, self.address
+        sock.close()
+        raise Broken("the registry has moved")
+
     # --- the watch --------------------------------------------------------------------------------------
 
     def _watches(self) -> None:
         while True:
-            version = self.wanted.get()
+            version, epoch = self.wanted.get()
             try:
-                self._watch(version)
+                self._watch(version, epoch)
             except (OSError, Broken, Malformed) as error:
                 log("registry", f"the watch ended: {error}")
             except (ValueError, KeyError, TypeError, AttributeError) as error:
@@ -63,14 +82,17 @@
                 log("registry", f"news that cannot be read: {type(error).__name__}: {error}")
             except Exception as error:
                 trouble("registry", error)
-            self.post(WatchLost())
-
-    def _watch(self, version: int) -> None:
-        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
-            sockets.connect(*self.address, DIAL, sock)
+            self.post(WatchLost(epoch))
+
+    def _watch(self, version: int, epoch: int) -> None:
+        sock, address = self._socket("watch", epoch)
+        with sock:
+            sockets.connect(*address, DIAL, sock)
+            if epoch != self.epoch:
+                raise Broken("the registry has moved")
             sockets.limit(sock, socket.SO_RCVTIMEO, SILENT)
             target = f"/registry/instances?follow=1&since={version}"
-            sock.sendall(encode_call("GET", target, self.host, {}, None))
+            sock.sendall(encode_call("GET", target, f"{address[0]}:{address[1]}", {}, None))
             stream = Stream(sock.recv)
             status, headers, _ = read_head(stream)
             if status != 200 or "chunked" not in headers.get("transfer-encoding", "").lower():
@@ -81,14 +103,14 @@
                 *lines, pending = (pending + chunk).split(b"\n")
                 for line in lines:
                     if line.strip():
-                        self._news(line)
+                        self._news(line, epoch)
                 if len(pending) > MOST_LINE:
                     raise Malformed(400, "a line of news is too long")
             raise Broken("it came to its end")
 
-    def _news(self, line: bytes) -> None:
+    def _news(self, line: bytes, epoch: int) -> None:
         news = read_news(json.loads(line), self.names)
-        self.post(Heard(news.version, news.full, news.workers))
+        self.post(Heard(news.version, news.full, news.workers, epoch=epoch))
 
     # --- notices -----------------------------------------------------------------------------------------
 
@@ -124,18 +146,20 @@
         if connection is None or not sockets.quiet(connection[0]):
             if connection is not None:
                 connection[0].close()
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-            connection = (sock, Stream(sock.recv))
+            sock, address = self._socket("notices")
+            connection = (sock, Stream(sock.recv), f"{address[0]}:{address[1]}")
             try:
-                sockets.connect(*self.address, DIAL, sock)
+                sockets.connect(*address, DIAL, sock)
                 sockets.limit(sock, socket.SO_RCVTIMEO, NOTICE_WAIT)
-            except OSError:
+                if address != self.address:
+                    raise Broken("the registry has moved")
+            except (OSError, Broken):
                 sock.close()
                 raise
-        sock, stream = connection
+        sock, stream, host = connection
         try:
             body = b"".join(_line(n) for n in batch)
-            sock.sendall(encode_call("POST", "/status", self.host, {}, body))
+            sock.sendall(encode_call("POST", "/status", host, {}, body))
             answer = read_response(stream)
         except (OSError, Broken, Malformed):
             sock.close()
--- a/juniperward/net/server.py
+++ b/juniperward/net/server.py
@@ -12,12 +12,25 @@
 from juniperward.messages import Event, Handed
 from juniperward.net import sockets
 from juniperward.net.codec import PATH, BadCall, decode_call, encode_reply
-from juniperward.net.http import Broken, Closed, Malformed, HttpCall, Stream, encode_response, read_call
+from juniperward.net.http import (
+    Broken,
+    Closed,
+    HttpCall,
+    Malformed,
+    Overdue,
+    Stream,
+    encode_response,
+    read_call,
+)
 
-IDLE = 120.0  # seconds after which a connection that nothing comes on is closed
-STALL = 10.0  # seconds that a call may stand still half read
+FIRST = 2.0  # seconds from connecting in which the first call must be whole
+CALL = 2.0  # seconds from its first byte in which a later call must be whole
+IDLE = 10.0  # seconds after which a connection that nothing comes on is closed
+SPARE_IDLE, SPARE_SILENT = 2.0, 0.25  # the same where the table is full: after a call, before the first
+LEAVING = 32  # connections that may be on their way out beside a full table
 PATIENCE = 0.35  # seconds for the reducer's answer; the client waits for 0.4
 LINGER = 0.2  # seconds to read on after a refusal, or a reset could overtake it
+LINGER_BYTES = 262144  # nor further than this: some send 60 MB
 BACK = 1.0  # seconds after which a client that was turned away here may come again
 BACKLOG = 512
 GO_ON = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -34,6 +47,20 @@
         self.idle = True
         self.served = False  # it has had an answer; a fresh one is owed the wait for its first call
         self.close = False  # as the client asked
+        self.leaving = False  # to be closed for others' sake
+        self.since = time.monotonic()  # of connecting, or of the latest answer
+        self.until = self.since + FIRST  # when what is being read must be whole
+        self.limit = 0.0  # as the kernel has it
+
+    def receive(self, size: int) -> bytes:
+        """Read within the time that is left; raises TimeoutError or BlockingIOError after it."""
+        left = self.until - time.monotonic()
+        if left <= 0:
+            raise TimeoutError
+        if not left <= self.limit <= left + 0.05:
+            self.limit = left + 0.02
+            sockets.limit(self.sock, socket.SO_RCVTIMEO, self.limit)
+        return self.sock.recv(size)
 
 
 class Server:
@@ -107,7 +134,9 @@
                     return
                 count("accepts_failed")
                 log("listener", f"cannot accept: {error}")
-                time.sleep(0.01)
+                with self.lock:
+                    self._spare()  # mostly for want of descriptors
+                time.sleep(0.05)
                 continue
             try:
                 self._admit(sock)
@@ -117,11 +146,11 @@
 
     def _admit(self, sock: socket.socket) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sockets.limit(sock, socket.SO_RCVTIMEO, STALL)
         with self.lock:
             self.last += 1
             client = Client(self.last, sock)
-            full = len(self.clients) >= self.most
+            here = len(self.clients)
+            full = here >= self.most and (here >= self.most + LEAVING or not self._spare())
             if not full:
                 self.clients[client.number] = client
         count("clients_accepted")
@@ -138,8 +167,24 @@
             self._write(client, encode_reply(503, BACK, True, "too many connections"))
             raise
 
+    def _spare(self) -> bool:
+        """Ask the connection that nothing has come on for the longest to leave, so that others may come."""
+        now = time.monotonic()
+        free = [
+            c for c in self.clients.values()
+            if c.idle and not c.leaving and now - c.since >= (SPARE_IDLE if c.served else SPARE_SILENT)
+        ]  # fmt: skip
+        if not free:
+            return False
+        client = min(free, key=lambda c: c.since)
+        client.leaving = True
+        count("clients_spared")
+        # Reading ends once what has come is read: a call that crosses this is still answered.
+        sockets.shut(client.sock, socket.SHUT_RD)
+        return True
+
     def _serve(self, client: Client) -> None:
-        stream = Stream(client.sock.recv)
+        stream = Stream(client.receive)
         try:
             while self._next(client, stream):
                 pass
@@ -167,6 +212,11 @@
             self._write(client, encode_reply(error.status, 0.0, True, str(error)))
             self._linger(client)
             return False
+        except Overdue:
+            count("calls_overdue")
+            self._write(client, encode_reply(408, 0.0, True, "the call was not whole in time"))
+            self._linger(client)
+            return False
         at, client.served = time.monotonic(), True
         if asked.path == PATH and asked.method == "POST":
             client.close = asked.close
@@ -183,14 +233,15 @@
             client.idle = True
         if self.stopping and client.served and not stream.buffer and sockets.quiet(client.sock):
             raise Closed
-        began = time.monotonic()
+        if client.served:
+            client.since = time.monotonic()
+            client.until = client.since + IDLE
         while not stream.buffer:
             try:
-                data = client.sock.recv(16384)
-            except BlockingIOError:
-                if time.monotonic() - began > IDLE:
-                    raise Closed from None
-                continue
+                data = client.receive(16384)
+            except (BlockingIOError, TimeoutError):
+                count("clients_idle" if client.served else "clients_silent")
+                raise Closed from None
             except ConnectionError as error:
                 raise Closed from error
             if not data:
@@ -198,6 +249,8 @@
             stream.buffer += data
         with client.lock:
             client.idle = False
+        if client.served:
+            client.until = time.monotonic() + CALL
 
     def _hand_in(self, client: Client, asked: HttpCall, at: float) -> None:
         try:
@@ -244,9 +297,9 @@
         holds(not client.pending, "no_close_before_an_answer")
         sockets.shut(client.sock, socket.SHUT_WR)
         sockets.limit(client.sock, socket.SO_RCVTIMEO, LINGER)
-        until = time.monotonic() + LINGER
+        until, left = time.monotonic() + LINGER, LINGER_BYTES
         try:
-            while time.monotonic() < until and client.sock.recv(16384):
-                pass
+            while time.monotonic() < until and left > 0 and (data := client.sock.recv(16384)):
+                left -= len(data)
         except OSError:
             pass
--- a/juniperward/net/workers.py
+++ b/juniperward/net/workers.py
@@ -6,6 +6,7 @@
 import json
 import math
 import queue
+import re
 import socket
 import threading
 import time
@@ -20,6 +21,11 @@
 
 KEEP_PART = 0.9  # part of the workers' keepalive after which an idle connection is not used any more
 LONGEST = 60.0  # seconds after which a read ends whatever the reducer forgot
+ANSWER = 0.5  # seconds that an answer may take from its first byte to its last
+REST = 0.01  # seconds after an answer before its connection is used again: what is behind it shows by then
+MOST_WAIT = 3600.0  # seconds; what tells a longer wait than this tells none
+MOST_REPORT = 1024  # bytes of a load report
+SECONDS = re.compile(r"[0-9]{1,9}(?:\.[0-9]{0,9})?")
 STATES = {
     "ok": (Outcome.OK, False),
     "error": (Outcome.ERROR, False),
@@ -43,8 +49,26 @@
 
     def __init__(self, sock: socket.socket, address: tuple[str, int]) -> None:
         self.sock, self.address = sock, address
-        self.stream = Stream(sock.recv)
+        self.stream = Stream(self._receive)
         self.used = time.monotonic()
+        self.until: float | None = None  # when the answer that has begun must be whole
+        self.limited = False
+
+    def begun(self, begun: bool) -> None:
+        """An answer may be long in coming, but not in arriving."""
+        self.until = time.monotonic() + ANSWER if begun else None
+
+    def _receive(self, size: int) -> bytes:
+        if self.until is not None:
+            left = self.until - time.monotonic()
+            if left <= 0:
+                raise TimeoutError
+            sockets.limit(self.sock, socket.SO_RCVTIMEO, left)
+            self.limited = True
+        elif self.limited:
+            sockets.limit(self.sock, socket.SO_RCVTIMEO, LONGEST)
+            self.limited = False
+        return self.sock.recv(size)
 
 
 class Workers:
@@ -109,13 +133,19 @@
         if barred:
             self.close_idle(worker)
 
+    def forget(self, worker: int) -> None:
+        """Keep nothing of a worker that is gone and that no call is out to."""
+        self.close_idle(worker)
+        with self.lock:
+            self.barred.discard(worker)
+
     def hold(self, destination: int, until: float) -> None:
         """Write nothing to a destination that told a wait."""
         with self.lock:
             self.held[destination] = max(until, self.held.get(destination, until))
 
     def sweep(self, now: float) -> None:
-        """Drop connections before their workers do."""
+        """Drop connections before their workers do, and waits that are over."""
         old = []
         with self.lock:
             for worker, kept in list(self.idle.items()):
@@ -125,6 +155,8 @@
                     self.idle[worker] = fresh
                 else:
                     del self.idle[worker]
+            for destination in [d for d, until in self.held.items() if until <= now]:
+                del self.held[destination]
         for k in old:
             k.sock.close()
 
@@ -166,13 +198,20 @@
             kept.sock.close()
             return _all(what, Outcome.CONNECT_FAILED)
         try:
-            answer = read_response(kept.stream)
-        except (Broken, Malformed) as error:
+            answer = read_response(kept.stream, kept.begun)
+        except (Broken, Malformed, OSError) as error:
             kept.sock.close()
+            if not job.abandoned:
+                count("answers_spoilt")
+                log("worker", f"{what.host}:{what.port} gave no whole answer: {error}")
             # A first line with 200 has delivered a single message, whatever becomes of the rest.
             whole = len(what.parcels) == 1 and getattr(error, "status", None) == 200
             return _all(what, Outcome.OK if whole else Outcome.RESET)
-        if answer.close or job.abandoned:
+        # More than one answer, also late (see `_take_idle`): what is behind must not be the next call's.
+        behind = bool(kept.stream.buffer)
+        if behind:
+            count("answers_with_more")
+        if answer.close or job.abandoned or behind:
             kept.sock.close()
         else:
             self._put_back(what.worker, kept)
@@ -209,7 +248,10 @@
                 if not kept:
                     return None
                 k = kept.pop()
-            good = k.address == address and time.monotonic() - k.used < self.keep
+            rested = time.monotonic() - k.used
+            if rested < REST:
+                time.sleep(REST - rested)
+            good = k.address == address and rested < self.keep
             if good and not k.stream.buffer and sockets.quiet(k.sock):
                 return k
             k.sock.close()
@@ -255,20 +297,35 @@
 
 def read_wait(headers: dict[str, str]) -> float:
     """The wait that an answer tells, in seconds."""
-    try:
-        wait = float(headers.get("retry-after", "0"))
-    except ValueError:
-        return 0.0
-    return wait if 0 < wait < math.inf else 0.0
+    text = headers.get("retry-after", "0")
+    wait = float(text) if SECONDS.fullmatch(text) else 0.0
+    return wait if wait <= MOST_WAIT else 0.0
+
+
+def read_json(text: bytes, most_open: int) -> Any:
+    """Decode JSON of so many arrays and objects at most; raises ValueError.
+
+    The decoder goes down in C with each that opens: 128 KiB of stack end before its own limit does.
+    """
+    if text.count(b"{") + text.count(b"[") > most_open:
+        raise ValueError("too many arrays and objects")
+    return json.loads(text)
 
 
 def read_report(headers: dict[str, str]) -> dict[str, Any]:
-    """The load report of an answer, where there is one."""
-    try:
-        given = json.loads(headers["x-backend-load"])
-        return {name: float(given[x]) for name, x in (("room", "x0"), ("limit", "x1")) if x in given}
-    except (KeyError, ValueError, TypeError):
+    """The load report of an answer, where there is one that makes sense."""
+    text = headers.get("x-backend-load", "").encode("latin-1")
+    if not text:
         return {}
+    try:
+        given = read_json(text, 1)
+        found = {name: float(given[x]) for name, x in (("room", "x0"), ("limit", "x1")) if x in given}
+        if len(text) <= MOST_REPORT and all(0 <= x < math.inf for x in found.values()):
+            return found
+    except (ValueError, TypeError, OverflowError):
+        pass
+    count("reports_unread")
+    return {}
 
 
 def read_ends(what: Delegate, answer: Response) -> tuple[End, ...]:
@@ -306,9 +363,10 @@
     """The ends of several messages; one that is not named, or not in words we know, may have run."""
     states: dict[str, tuple[Outcome, bool]] = {}
     try:
-        for row in json.loads(answer.body):
+        for row in read_json(answer.body, 1 + len(what.parcels)):
             states[row["id"]] = STATES.get(row["state"], (Outcome.ERROR, False))
     except (ValueError, TypeError, KeyError):
+        states = {}
         count("answers_unread")
         log("worker", f"{what.host}:{what.port} answered several messages with what cannot be read")
     ends = []
--- a/juniperward/reducer.py
+++ b/juniperward/reducer.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -27,10 +28,13 @@
     End,
     Ended,
     Event,
+    ForgetWorker,
     Handed,
     Heard,
     Hold,
     ModuleTimer,
+    Moved,
+    MoveTo,
     Notice,
     Noticed,
     Notify,
@@ -53,6 +57,7 @@
 from nickelscale import Sender
 from nickelscale import interface as i
 
+EMPTY = 60.0  # seconds for which a destination without workers is still one
 DOOR_WAIT = 1.0  # seconds after which a client that was turned away at the door may come again
 AGAIN_AFTER = 0.05  # seconds after which the module is asked again where it failed
 LAST_START = 0.9  # seconds before the process must end after which no delegation is started
@@ -91,7 +96,12 @@
     outs: dict[int, Out] = field(default_factory=dict)
     workers: dict[int, Worker] = field(default_factory=dict)
     worker_numbers: dict[str, int] = field(default_factory=dict)
+    gone: set[int] = field(default_factory=set)  # workers that are, and not yet forgotten
+    destinations: dict[int, float] = field(default_factory=dict)  # until when each is known
     version: int = 0
+    epoch: int = 0  # how often the registry has moved
+    watching: bool = False  # a watch is asked for, or under way
+    last_worker: int = 0
     last_message: int = 0
     last_delegation: int = 0
     open_until: float = 0.0
@@ -146,10 +156,15 @@
             case CalledOff(delegation=number):
                 self._called_off(now, number)
             case Heard():
-                self._heard(event)
-            case WatchLost():
-                count("watches_lost")
-                self.news.append(i.Listed(i.ListScope.FAILED))
+                if event.epoch == self.state.epoch or event.known:
+                    self._heard(now, event)
+            case WatchLost(epoch=epoch):
+                if epoch == self.state.epoch:
+                    count("watches_lost")
+                    self.state.watching = False
+                    self.news.append(i.Listed(i.ListScope.FAILED))
+            case Moved(registry=address):
+                self._move(address)
             case Noticed(ids=ids):
                 for name in ids:
                     if self.state.owed.pop(name, None) is not None:
@@ -170,6 +185,11 @@
             count("handed_in_twice")
             self.effects.append(Reply(e.client, 202))
             return
+        if e.call.destination not in s.destinations:
+            # The list is seconds old: one that it will name shortly must not be final for its client.
+            count("overload_replies_unknown")
+            self.effects.append(Reply(e.client, 503, DOOR_WAIT))
+            return
         left = e.at + e.call.time_left - now
         if s.stop_at is not None or left <= 0 or len(s.held) + len(s.offered) >= self.settings.max_open:
             count("overload_replies_stopping" if s.stop_at is not None else "overload_replies_full")
@@ -210,7 +230,7 @@
         s.held[held.number] = held
         s.numbers[r.call.id] = held.number
         history = tuple(
-            i.Tried(self._worker_number(d.worker), d.at if d.may_have_run else None) for d in r.history
+            i.Tried(s.worker_numbers.get(d.worker, 0), d.at if d.may_have_run else None) for d in r.history
         )
         c = r.call
         self.news.append(
@@ -315,7 +335,7 @@
                 case i.Close(endpoint=worker):
                     self.effects.append(CloseIdle(worker))
                 case i.Watch():
-                    self.effects.append(WatchFrom(self.state.version))
+                    self._watch()
                 case i.Log(text=text):
                     self.effects.append(Say(text))
                 case i.Probe():
@@ -381,10 +401,29 @@
 
     # --- the registry --------------------------------------------------------------------------------
 
+    def _watch(self) -> None:
+        """One watch at a time; a second would only stand in line behind it."""
+        s = self.state
+        if not s.watching:
+            s.watching = True
+            self.effects.append(WatchFrom(s.version, s.epoch))
+
+    def _move(self, address: tuple[str, int]) -> None:
+        """What the old watch still tells does not count; the new one goes on from the version held."""
+        s = self.state
+        s.epoch += 1
+        s.watching = False
+        self.effects.append(MoveTo(address, s.epoch))
+        self._watch()
+
     def _worker_number(self, name: str) -> int:
-        return self.state.worker_numbers.setdefault(name, len(self.state.worker_numbers) + 1)
+        s = self.state
+        if name not in s.worker_numbers:
+            s.last_worker += 1
+            s.worker_numbers[name] = s.last_worker
+        return s.worker_numbers[name]
 
-    def _heard(self, e: Heard) -> None:
+    def _heard(self, now: float, e: Heard) -> None:
         s = self.state
         s.version = e.version
         count("registry_news")
@@ -394,9 +433,31 @@
             number = self._worker_number(w.id)
             named.add(number)
             s.workers[number] = w
+            (s.gone.add if w.phase is i.Phase.GONE else s.gone.discard)(number)
             self.effects.append(Bar(number, w.phase is not i.Phase.READY))
             entries.append(i.Endpoint(number, w.destination, w.phase, w.kind, w.zone, w.weight))
         if e.full:
-            self.effects += [Bar(number, True) for number in s.workers if number not in named]
+            missing = [number for number in s.workers if number not in named]
+            s.gone.update(missing)
+            self.effects += [Bar(number, True) for number in missing]
         scope = i.ListScope.FULL if e.full else i.ListScope.DELTA
         self.news.append(i.Listed(i.ListScope.CACHED if e.known else scope, tuple(entries)))
+        self._forget_workers(now)
+
+    def _forget_workers(self, now: float) -> None:
+        """Workers come and go for months: keep nothing of those that are gone, nor of their destinations."""
+        s = self.state
+        busy = {out.worker for out in s.outs.values()}
+        listed = {w.destination for number, w in s.workers.items() if number not in s.gone}
+        for number in sorted(s.gone - busy):
+            s.gone.discard(number)
+            del s.worker_numbers[s.workers.pop(number).id]
+            self.effects.append(ForgetWorker(number))
+        for destination in listed:
+            s.destinations[destination] = math.inf
+        for destination, until in list(s.destinations.items()):
+            if destination not in listed:
+                if until <= now:
+                    del s.destinations[destination]
+                elif until == math.inf:
+                    s.destinations[destination] = now + EMPTY
--- /dev/null
+++ b/juniperward/reload.py
@@ -0,0 +1,46 @@
+"""A new configuration for a running forwarder: the file is read again, and what can change now does.
+
+Only `discovery` takes effect at once, and over `ROUTER_DISCOVERY`; all other keys do at the next start.
+A file that cannot be used changes nothing.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import fields
+
+from juniperward.config import Config, ConfigError, load
+from juniperward.counters import count, log
+from juniperward.messages import Moved
+
+AT_ONCE = {"registry", "known", "seed"}  # the last two are of the moment of a start
+
+
+class Reloader:
+    """What the process was started with, and the configuration in force."""
+
+    def __init__(self, config: Config, environment: Mapping[str, str]) -> None:
+        self.config, self.registry = config, config.registry
+        self.environment = {name: text for name, text in environment.items() if name != "ROUTER_DISCOVERY"}
+
+    def again(self) -> Moved | None:
+        """Read the file; the registry's address where it is another one than before."""
+        count("reloads")
+        try:
+            new = load(self.environment)
+        except ConfigError as error:
+            count("reloads_refused")
+            log("reload", f"the settings stay as they were: {error}")
+            return None
+        later = [
+            f.name for f in fields(Config)
+            if f.name not in AT_ONCE and getattr(new, f.name) != getattr(self.config, f.name)
+        ]  # fmt: skip
+        if later:
+            log("reload", f"only the next start takes: {', '.join(later)}")
+        if new.registry == self.registry:
+            log("reload", "nothing that takes effect now is new")
+            return None
+        self.registry = new.registry
+        log("reload", f"the registry is at {new.registry[0]}:{new.registry[1]} from now on")
+        return Moved(new.registry)
--- a/nickelscale/rules.py
+++ b/nickelscale/rules.py
@@ -208,6 +208,18 @@
                     ep.phase = Phase.GONE
         for x in e.entries:
             self._entry(x)
+        self._prune()
+
+    def _prune(self) -> None:
+        """Nothing is kept of endpoints that are gone, nor of a destination without any that nobody wants."""
+        for ep in [x for x in self.endpoints.values() if x.phase is Phase.GONE and not x.calls]:
+            del self.endpoints[ep.id], ep.dest.endpoints[ep.id]
+            ep.route.endpoints.remove(ep)
+        wanted = {m.dest.id for m in self.messages.values()}
+        for d in [x for x in self.dests.values() if not x.endpoints and x.id not in wanted]:
+            if d.used + IDLE_DROP <= self.now and not d.on_ring:
+                self.listed -= d.rating
+                del self.dests[d.id]
 
     def _entry(self, x: Entry) -> None:
         dest = self.dests.setdefault(x.destination, Destination(x.destination))
@@ -544,7 +556,8 @@
                 # Idle connections of many nodes fill a table: keep none that will hardly be used again.
                 self.out.append(Close(ep.id))
                 ep.conns = 0
-            if not d.slots:
+            if not d.slots and not d.idle_due:
+                d.idle_due = True
                 self._at(self.now + IDLE_DROP, self._idle, d)
         return first
 
@@ -750,7 +763,12 @@
 
     def _idle(self, d: Destination) -> None:
         """Nothing held or out for a minute: forget what was learned (design)."""
-        if d.used + IDLE_DROP > self.now + EPS or d.waiting or d.slots:
+        d.idle_due = False
+        if d.waiting or d.slots:
+            return
+        if d.used + IDLE_DROP > self.now + EPS:
+            d.idle_due = True  # one timer for each destination, not one for each call
+            self._at(d.used + IDLE_DROP, self._idle, d)
             return
         d.means, d.mean, d.usual, d.deficit = {}, None, 0.0, 0.0
         for ep in d.endpoints.values():
--- a/nickelscale/state.py
+++ b/nickelscale/state.py
@@ -115,6 +115,7 @@
     wake_at: float = -math.inf
     rating: float = 0.0  # calls a second that all senders together may make, as listed
     used: float = 0.0
+    idle_due: bool = False  # a look at whether it is idle is due
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/player.py
+++ b/tests/player.py
@@ -7,8 +7,9 @@
 unless the line closes with a backslash. `<~ REGEX` matches one line instead. `= end` expects the forwarder to
 end the connection, `= close` closes ours, `= silent` expects that nothing has come on it. `! stop`
 sends SIGTERM, `! ended` expects that it exits with 0 in the time that it has, `! start` starts it in the same
-folder, and `! restart` kills it and does so. `+ NAME ARGS` plays the file NAME.block
-with its arguments put in for $1, $2 and so on.
+folder, and `! restart` kills it and does so. `! reload` moves the registry to another address, writes that to
+the configuration and sends SIGHUP; `! reload TEXT` writes TEXT in its place. `+ NAME ARGS` plays the file
+NAME.block with its arguments put in for $1, $2 and so on.
 """
 
 from __future__ import annotations
@@ -153,6 +154,7 @@
         self.program = program
         self.lines: dict[str, Line] = {}
         self.parked: list[socket.socket] = []
+        self.moved: list[socket.socket] = []
         self.line: Line | None = None
 
     def play(self, text: str) -> None:
@@ -170,7 +172,7 @@
                     raise AssertionError(f"line {number}: {row}\n{error}") from error
 
     def close(self) -> None:
-        for sock in [*self.parked, *(line.sock for line in self.lines.values())]:
+        for sock in [*self.parked, *self.moved, *(line.sock for line in self.lines.values())]:
             sock.close()
 
     def _step(self, row: str) -> None:
@@ -229,6 +231,15 @@
             self.program.start()
         elif what == "stop":
             self.program.process.send_signal(signal.SIGTERM)
+        elif what.startswith("reload"):
+            program, process = self.program, self.program.process
+            if what == "reload":
+                self.moved.append(program.registry)
+                program.registry = listener()
+                program.config["discovery"] = name(program.registry)
+            text = what.removeprefix("reload").strip() or json.dumps(program.config)
+            (program.folder / "config.json").write_text(text)
+            process.send_signal(signal.SIGHUP)
         elif what == "ended":
             assert self.program.process.wait(3.7) == 0, "it did not exit with 0"
             self.program.end()
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -12,6 +12,8 @@
 from typing import Any
 
 from juniperward.config import ConfigError, address, load
+from juniperward.messages import Moved
+from juniperward.reload import Reloader
 from tests.player import ROOT, SETTINGS
 
 GOOD: dict[str, Any] = {
@@ -42,6 +44,22 @@
         self.assertEqual((config.seed, config.disk_bytes), (0x8C1F, 3_000_000))
         self.assertEqual(config.settings.slots, 4)
 
+    def test_a_new_file_moves_the_registry_and_a_bad_one_changes_nothing(self) -> None:
+        # Guards a running forwarder against a file that is half written or wrong; the file's address counts
+        # over the environment's from the first SIGHUP on.
+        environment = {**self.given(GOOD), "ROUTER_DISCOVERY": "127.0.0.1:10"}
+        reloader = Reloader(load(environment), environment)
+        self.assertIsNone(reloader.again())
+        for bad in ("", json.dumps(GOOD)[:99], "[]", {**GOOD, "discovery": None}, {**GOOD, "seed": "x"}):
+            self.given(bad)
+            self.assertIsNone(reloader.again())
+        self.given({**GOOD, "discovery": "127.0.0.1:11"})
+        self.assertEqual(reloader.again(), Moved(("127.0.0.1", 11)))
+        Path(environment["ROUTER_CONFIG"]).unlink()
+        self.assertIsNone(reloader.again())
+        self.given({**GOOD, "limits": {"sockets": 50}})
+        self.assertEqual(reloader.again(), Moved(("127.0.0.1", 10)))
+
     def test_what_is_wrong_is_named(self) -> None:
         bad: tuple[tuple[Any, str], ...] = (
             ("{", "not JSON"),
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -4,16 +4,22 @@
 
 import queue
 import socket
+import threading
+import time
 import unittest
+from unittest import mock
 
 from juniperward.config import Names
 from juniperward.messages import Answered, Call, Delegate, End, Event, Parcel
-from juniperward.net.http import Response, Stream, read_call, read_response
+from juniperward.net import server as server_module
+from juniperward.net import workers as workers_module
+from juniperward.net.codec import BadCall, decode_call
+from juniperward.net.http import Broken, HttpCall, Malformed, Response, Stream, read_call, read_response
 from juniperward.net.server import Client, Server
-from juniperward.net.workers import Workers, read_ends
+from juniperward.net.workers import Workers, read_ends, read_wait
 from nickelscale.interface import Outcome
 
-NAMES = Names(("c",), (), (), ())
+NAMES = Names(("c",), (12.0,), (), (), ())
 
 
 def delegate(number: int, port: int, count: int = 1, deadline: float = 1e12) -> Delegate:
@@ -52,6 +58,70 @@
                 self.assertEqual(read_ends(what, Response(status, headers, body, False)), tuple(ends))
 
 
+class SpoiltTest(unittest.TestCase):
+    def test_what_is_no_answer_is_told_as_such(self) -> None:
+        # Guards against what Python's own int() and json take, or die of: each of these came from a worker.
+        head = b"HTTP/1.1 500 X\r\n"
+        chunked = head + b"Transfer-Encoding: chunked\r\n\r\n"
+        for text in (
+            b"HTTP/1.1 " + b"2" * 5000 + b" OK\r\n\r\n",
+            b"HTTP/1.1 +20 OK\r\n\r\n",
+            b"HTTP/1.1 100 Go on\r\n\r\n" * 17,
+            head + b"Content-Length: 70000\r\n\r\n" + b"x" * 70000,
+            head + b"Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+            head + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+            *(
+                chunked + size + b"\r\n" + b"x" * 16 + b"\r\n0\r\n\r\n"
+                for size in (b"+10", b"0x10", b"1_0", b"-1", b"")
+            ),
+            chunked + b"8000\r\n" + b"x" * 32768 + b"\r\n" * 3,
+        ):
+            with self.subTest(text[:60]), self.assertRaises((Broken, Malformed)):
+                read_response(Stream(lambda _, left=[text, b""]: left.pop(0) if left else b""))  # type: ignore[misc]
+
+    def test_a_report_or_a_list_of_ends_cannot_break_us(self) -> None:
+        # Guards the process: decoding a deep one overran a thread's stack, and a delivery became a reset.
+        def run() -> None:
+            huge = '{"x0":' + "9" * 400 + "}"
+            for text in ("[" * 16000, '{"x0":' * 2600, '{"x0":NaN}', huge, '{"x1":-1}', "7"):
+                answer = Response(200, {"x-backend-load": text}, b"", False)
+                ends.append(read_ends(delegate(1, 1), answer))
+            ends.append(read_ends(delegate(1, 1, 2), Response(200, {}, b"[" * 60000, False)))
+
+        ends: list[tuple[End, ...]] = []
+        threading.stack_size(128 * 1024)
+        thread = threading.Thread(target=run)
+        thread.start()
+        threading.stack_size(0)
+        thread.join()
+        self.assertEqual(ends[:-1], [(End(0, Outcome.OK),)] * 6)
+        self.assertEqual(ends[-1], (End(0, Outcome.ERROR), End(1, Outcome.ERROR)))
+
+    def test_a_wait_that_is_no_number_is_none(self) -> None:
+        for text in ("inf", "1e300", "1_0", "-1", "9" * 9, ""):
+            self.assertEqual(read_wait({"retry-after": text}), 0.0)
+        self.assertEqual(read_wait({"retry-after": "0.250"}), 0.25)
+
+
+class CodecTest(unittest.TestCase):
+    def test_what_no_client_may_hand_in_is_turned_away(self) -> None:
+        # Guards against a 202 for a message that nobody could end: a deadline that never comes, or no id.
+        good = {"x-correlation-id": "a1", "x-service-class": "c", "x-time-left": "0.5"}
+        good["x-addressing"] = "dest=7"
+        self.assertEqual(decode_call(HttpCall("POST", "/api", good, b"", False), NAMES).time_left, 0.5)
+        long = {**good, "x-time-left": "99999"}
+        self.assertEqual(decode_call(HttpCall("POST", "/api", long, b"", False), NAMES).time_left, 12.0)
+        for name, texts in (
+            ("x-time-left", ("nan", "inf", "-1", "1_0", "1e3", "", "+1", "\u0661")),
+            ("x-correlation-id", ("", "a b", "a, b", "x" * 201, "\xe9")),
+            ("x-service-class", ("", "d")),
+            ("x-addressing", ("", "dest=", "dest=-1", "dest=x", "dest=" + "1" * 16)),
+        ):
+            for text in texts:
+                with self.subTest((name, text)), self.assertRaises(BadCall):
+                    decode_call(HttpCall("POST", "/api", {**good, name: text}, b"", False), NAMES)
+
+
 class StreamTest(unittest.TestCase):
     def test_bytes_may_be_cut_anywhere(self) -> None:
         text = b"POST /api HTTP/1.1\r\nA: b\r\nContent-Length: 3\r\n\r\nabc"
@@ -85,6 +155,38 @@
         self.assertFalse(server.answer(2, 202))
 
 
+    def test_a_full_table_lets_the_longest_idle_go(self) -> None:
+        # Guards usual clients: those that asked once and stayed, or never asked, kept all places.
+        server = Server(("127.0.0.1", 0), NAMES, 3, lambda event: None)
+        self.addCleanup(server.close)
+        now = time.monotonic()
+        theirs = []
+        for number, (served, age) in enumerate(((True, 1.9), (False, 0.3), (True, 5.0)), 1):
+            ours, there = socket.socketpair()
+            self.addCleanup(ours.close)
+            self.addCleanup(there.close)
+            theirs.append(there)
+            client = server.clients[number] = Client(number, ours)
+            client.served, client.since = served, now - age
+        with server.lock:
+            self.assertEqual([server._spare() for _ in range(3)], [True, True, False])
+        self.assertEqual([server.clients[n].leaving for n in (1, 2, 3)], [False, True, True])
+
+    def test_a_call_must_be_whole_in_its_time(self) -> None:
+        # Guards the places: a head that trickles in, or none at all, held one for as long as it liked.
+        server = Server(("127.0.0.1", 0), NAMES, 3, lambda event: None)
+        self.addCleanup(server.close)
+        for sent, told in ((b"", b""), (b"POST /api HTTP/1.1\r\nA: b", b"HTTP/1.1 408 ")):
+            ours, theirs = socket.socketpair()
+            self.addCleanup(theirs.close)
+            theirs.sendall(sent)
+            client = Client(1, ours)
+            client.until = client.since + 0.05
+            server._serve(client)
+            self.assertEqual(theirs.recv(13), told)
+        self.assertLessEqual(server_module.FIRST, 2.5)
+
+
 class WorkersTest(unittest.TestCase):
     def setUp(self) -> None:
         self.events: queue.Queue[Event] = queue.Queue()
@@ -174,3 +276,46 @@
         self.assertIn(3, self.workers.idle)
         self.workers.sweep(kept.used + 9.1)
         self.assertEqual(sock.recv(1), b"")
+
+    def test_an_answer_that_does_not_end_does_not_hold_its_call(self) -> None:
+        # Guards the slots: a worker that sends half an answer and stays kept one until the message's end.
+        with mock.patch.object(workers_module, "ANSWER", 0.05):
+            for text, outcome in (
+                (b"HTTP/1.1 500 Internal", Outcome.RESET),
+                (b"HTTP/1.1 500 X\r\nContent-Length: 9\r\n\r\n", Outcome.RESET),
+                (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", Outcome.OK),
+            ):
+                self.workers.delegate(delegate(1, self.port))
+                sock, _ = self.door.accept()
+                self.addCleanup(sock.close)
+                sock.settimeout(5.0)
+                sock.recv(1000)
+                sock.sendall(text)
+                self.assertIs(self.outcome(), outcome)
+                self.assertEqual(sock.recv(1), b"")
+
+    def test_what_stands_behind_an_answer_is_never_the_next_one(self) -> None:
+        # Guards against a delivery that was none: a copy of one answer, taken for the next.
+        good = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+        for late in (False, True):
+            self.workers.delegate(delegate(1, self.port))
+            sock, _ = self.door.accept()
+            self.addCleanup(sock.close)
+            sock.recv(1000)
+            sock.sendall(good if late else 2 * good)
+            self.assertIs(self.outcome(), Outcome.OK)
+            if late:
+                sock.sendall(good)
+            self.workers.delegate(delegate(2, self.port))
+            sock, _ = self.door.accept()
+            sock.recv(1000)
+            sock.close()
+            self.assertIs(self.outcome(), Outcome.RESET)
+
+    def test_nothing_is_kept_of_a_worker_that_is_gone(self) -> None:
+        # Guards memory over months, and who comes at its address: it must not inherit a bar.
+        self.workers.bar(3, True)
+        self.workers.hold(7, time.monotonic() + 1.0)
+        self.workers.forget(3)
+        self.workers.sweep(time.monotonic() + 2.0)
+        self.assertEqual((self.workers.barred, self.workers.held, self.workers.idle), (set(), {}, {}))
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -20,9 +20,12 @@
     End,
     Ended,
     Event,
+    ForgetWorker,
     Handed,
     Heard,
     Hold,
+    Moved,
+    MoveTo,
     Notice,
     Noticed,
     Notify,
@@ -35,6 +38,8 @@
     TimeUp,
     TookOn,
     Wake,
+    WatchFrom,
+    WatchLost,
     Worker,
 )
 from juniperward.reducer import Reducer
@@ -239,3 +244,47 @@
         self.assertIn(Bar(1, True), effects)
         self.assertEqual(self.sent(self.take("a", destination=1)), [])
         self.assertEqual(self.sent(self.take("b", destination=2)), [["b"]])
+
+    def test_a_moved_registry_is_watched_from_the_version_held(self) -> None:
+        # Guards reloading: what the old watch still tells must not come after what the new one has told.
+        self.start(on_request=True)
+        self.do(Heard(43, False, ()))
+        self.assertEqual(self.do(Moved(("127.0.0.1", 9))), [MoveTo(("127.0.0.1", 9), 1), WatchFrom(43, 1)])
+        self.assertEqual(self.do(Heard(44, False, (worker(phase=Phase.DRAINING),))), [])
+        self.assertEqual(self.do(WatchLost()), [])
+        self.do(Heard(45, False, (), epoch=1))
+        self.assertEqual(self.reducer.state.version, 45)
+
+    def test_a_move_while_the_watch_is_down_leaves_one_watch(self) -> None:
+        # Guards against a second watch that stands in line behind the first for good.
+        self.start(on_request=True)
+        self.do(WatchLost())
+        self.assertEqual(len(self.only(self.do(Moved(("127.0.0.1", 9))), WatchFrom)), 1)
+        self.now += 10.0
+        self.assertEqual(self.only(self.do(Heard(44, False, (), epoch=1)), WatchFrom), [])
+
+    def test_a_destination_that_nobody_serves_is_turned_away(self) -> None:
+        # Guards against a 202 for a message that cannot be sent anywhere.
+        self.start()
+        (told,) = self.do(Handed(5, call("a", destination=9), self.now))
+        self.assertEqual(told, Reply(5, 503, 1.0))
+
+    def test_workers_that_are_gone_are_forgotten_once_nothing_of_theirs_is_out(self) -> None:
+        # Guards memory over a long day: new ids replace the workers all day, also at the same address.
+        self.start()
+        effects = self.take("a")
+        for n in range(2, 50):
+            old, new = worker(f"s-{n - 1}", phase=Phase.GONE), worker(f"s-{n}")
+            told = self.do(Heard(41 + n, False, (old, new)))
+            self.assertEqual(self.only(told, ForgetWorker), [] if n == 2 else [ForgetWorker(n - 1)])
+        state, sender = self.reducer.state, self.reducer.sender
+        self.assertEqual((len(state.workers), len(state.worker_numbers), state.gone), (2, 2, {1}))
+        self.assertEqual(len(sender.endpoints), 2)
+        self.end(effects, (Outcome.OK, 0.0))
+        self.do(Heard(99, True, (worker("s-49"),)))
+        self.assertEqual((len(state.workers), list(state.worker_numbers), state.gone), (1, ["s-49"], set()))
+        self.assertEqual([len(sender.endpoints), len(sender.dests[1].shared.endpoints)], [1, 1])
+        self.do(Heard(100, True, ()))
+        self.now += 61.0
+        self.do(Heard(101, True, ()))
+        self.assertEqual((state.destinations, sender.dests), ({}, {}))
