Gather messages for destinations that take many in one call, spaced by the listed rate

At fault: rules.py releases into any free slot at once, so calls carry one message while slots are free.

--- a/nickelscale/rules.py
+++ b/nickelscale/rules.py
@@ -25,6 +25,7 @@
 ROOM_LOW = 0.2  # share of a told limit left under which it counts as used up
 FEW_NODES = 5  # up to so many nodes each takes the design's figures whole
 IDLE_DROP = 60.0  # state idle for so long is dropped (design)
+GATHER, GATHER_MOST = 0.8, 0.5  # calls of many messages: spaced by x the listed rate's share; most, x aim
 QUANTUM = 0.25  # a turn's quantum, as a share of the shortest aim
 MEAN_WEIGHT = 0.2  # weight of the newest latency in a running mean
 SLOW_TIMES, USUAL_WEIGHT = 3.0, 0.02  # slow: its mean exceeds so many times its usual latency, a slower mean
@@ -234,6 +235,10 @@
         if self.set.rated and 0 < x.rating < math.inf:
             self.listed += x.rating - dest.rating
             dest.rating = x.rating
+            if self._kind(x.kind).batch > 1:
+                # The limit counts calls: what comes meanwhile travels in one, and is not refused in many.
+                spaced = GATHER * (1 + self.set.rating_off) * self.set.instances / x.rating
+                dest.gather = min(spaced, GATHER_MOST * min(c.aim for c in self.set.classes))
 
     def _watch(self) -> None:
         self.out.append(Watch())
@@ -435,7 +440,7 @@
         if self.many and route.sick and route.next_at < self.now - self.set.warm_within:
             # Its trial fell due while nothing was held: messages of a clump must not all be trials at once.
             route.next_at = self.now + self.random.random() * self.set.warm_within
-        at = route.wait_until  # rule 6
+        at = max(route.wait_until, route.called + ep.dest.gather)  # rule 6; gathering
         if route.sick or route.cold_since is not None or route.pace is not None or route.spread:
             at = max(at, route.next_at)
         if route.sick and any(c.sent >= route.sick_since and not c.overdue for c in ep.calls.values()):
@@ -470,7 +475,7 @@
             call.members.add(m.id)
             self.out.append(Send(m.id, ep.id, max(m.expires - self.now, self.set.resolution)))
             m = self._head(d) if len(call.members) < batch else None
-            if m is not None and (ep.route.sick or m.cls.effect is Effect.ONCE or m.maybe):
+            if m is not None and (ep.route.sick or not self._may_join(m, ep)):
                 m = None
         ep.calls[self.calls] = self.slots[self.calls] = call
         ep.gap = max(0.5 * min(ep.gap, IDLE_DROP), self.now - ep.used)
@@ -480,9 +485,17 @@
         self._count(ep, 1.0 + 0.25 * (len(call.members) - 1))
         self._at(self.now + self._overdue_after(d), self._overdue, call)
 
+    def _may_join(self, m: Message, ep: Endpoint) -> bool:
+        """Whether a message may travel with others: not where a spoilt call would be its end."""
+        if m.cls.effect is Effect.ONCE:
+            return False
+        same = m.cls.dedup_scope is DedupScope.ALL or m.zone == ep.zone
+        return not m.maybe or (same and may_repeat(m, self.now))
+
     def _count(self, ep: Endpoint, weight: float) -> None:
         """Charge a call or a probe to the pace and to the bucket."""
         d, route = ep.dest, ep.route
+        route.called = self.now
         route.sends.append(self.now)
         while route.sends and route.sends[0] < self.now - RATE_MEMORY:
             route.sends.popleft()
--- a/nickelscale/state.py
+++ b/nickelscale/state.py
@@ -82,6 +82,7 @@
     rate_at: float = 0.0
     born: float | None = None
     known: float = 0.0  # delivered rate before the outage
+    called: float = -math.inf  # time of the latest call
     next_at: float = 0.0  # the bucket's or the pace's next free moment
     wait_until: float = -math.inf
     sends: deque[float] = field(default_factory=deque)  # send times within the last second
@@ -113,6 +114,7 @@
     mean: float | None = None
     usual: float = 0.0
     wake_at: float = -math.inf
+    gather: float = 0.0  # seconds between calls that carry many messages
     rating: float = 0.0  # calls a second that all senders together may make, as listed
     used: float = 0.0
     idle_due: bool = False  # a look at whether it is idle is due
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -5,7 +5,7 @@
 import pytest
 
 from nickelscale.interface import Endpoint, Kind, MessageClass, Outcome
-from tests.helpers import SAFE, Node, refused, sends, settings
+from tests.helpers import KEYED, SAFE, Node, refused, sends, settings
 
 
 def test_destinations_take_turns_for_the_free_slots() -> None:
@@ -170,3 +170,40 @@
     node.settle(1, Outcome.FULL, wait=90.0)
     node.run(70.0)
     assert sends(node.arrive()) == []
+
+
+def gathering(batch: int = 20) -> Node:
+    """One destination that takes four calls a second from two senders."""
+    config = settings(KEYED, kinds=(Kind(batch=batch),), instances=2, rated=True)
+    return Node(config, (Endpoint(10, 1, rating=4.0),))
+
+
+def test_a_listed_rate_spaces_calls_that_carry_many() -> None:
+    # Guards the limit, which counts calls: one for each message was refused, and then all waited.
+    node = gathering()
+    node.arrive()
+    assert [sends(node.arrive()) for _ in range(3)] == [[], [], []]
+    assert sends(node.run(0.3)) == []
+    assert sends(node.run(0.2)) == [2, 3, 4]
+    single = gathering(batch=1)
+    single.arrive()
+    assert sends(single.arrive()) == [2]
+
+
+def test_messages_that_may_have_run_travel_together() -> None:
+    # Guards the repeat window: after a spoilt answer to many, one call each lasted longer than that.
+    node = gathering()
+    node.arrive(count=5)
+    for message in range(1, 6):
+        node.settle(message, Outcome.RESET)
+    assert sorted(sends(node.run(1.0))) == [1, 2, 3, 4, 5]
+    assert len({c.serial for c in node.sender.slots.values()}) == 1
+
+
+def test_one_look_at_idle_state_is_due_for_each_destination() -> None:
+    # Guards memory: a timer of a minute for each call stood by the thousand.
+    node = Node()
+    for _ in range(50):
+        node.arrive()
+        node.settle(node.serial)
+    assert sum(act == node.sender._idle for _, _, act, _ in node.sender.due) == 1
