Pace, trials and warming by the listed share; call off calls that later ones overtook

At fault: the floor and step of the pace (1 call a second), no time-out but the message's own, and _cold_gap, which knows only what was delivered lately.

--- a/nickelscale/rules.py
+++ b/nickelscale/rules.py
@@ -21,6 +21,7 @@
 
 HEALTHY_CAP, SICK_CAP = 0.75, 0.5  # share of the slots that one destination may fill (design)
 PACE_CUT, PACE_FLOOR, PACE_STEP = 0.5, 1.0, 1.0  # pace: cut, floor (calls/s), growth a second (design)
+PACE_LISTED, PACE_RISE = 0.4, 0.1  # x this sender's share of the listed rate: least pace, growth a second
 PACE_LEAST = 2.0  # calls within a message's time that the pace leaves at least
 ROOM_LOW = 0.2  # share of a told limit left under which it counts as used up
 FEW_NODES = 5  # up to so many nodes each takes the design's figures whole
@@ -33,10 +34,13 @@
 SILENT_TIMES, SILENT_LEAST, SILENT_CALLS = 5.0, 1.0, 2  # overdue: x mean, seconds; calls that tell silence
 FAIL_RUN, RECENT, RECENT_BAD = 4, 12, 8  # an endpoint is failing: so many in a row, or of its latest
 SHUT_RUN, SHUT_AFTER = 8, 1.0  # refusals in a row, and seconds, without a delivery: shut
+KNOWN_LISTED = 1.0  # x this sender's share of the listed rate: what a returning destination took at least
 TRIAL_PART = 0.5  # part of what all nodes may send to a cold destination that trials take
 CONTACT = 2.0  # x FallMs since a delivery, within which failures tell of no outage to one of many nodes
 TRIAL_SHARE = 0.25  # share of the slots that all sick destinations together may fill with trials
+TRIAL_LEAST = 1.0  # seconds between the trials of a few nodes where the list tells what a destination takes
 TRIAL_MOST = 2.0  # longest spacing of the trials of a few nodes, x FallMs
+LOST_TIMES = 2.0  # x the overdue limit after which a call that later ones overtook is called off
 LAST_TIMES = 3.0  # x the overdue limit before a call is given up whose message must then fail
 RETRY_FIRST, RETRY_MOST = 0.2, 2.0  # seconds before a message's next attempt, doubling
 ASK_FIRST, ASK_MOST = 0.5, 4.0  # seconds before the list is asked for again, doubling
@@ -519,13 +523,15 @@
         if trial and not route.sick and route.cold_since is None:
             # As of the last delivery, less half of its own weight: the outage must not wear down the memory.
             route.known = max(delivered(route, route.rate_at) - 0.5 / RATE_MEMORY, route.known * 0.5)
-        known = self._usual(d, route) if self.many else max(route.known, PACE_FLOOR / self.set.instances)
+        known = self._usual(d, route) if self.many else max(
+            route.known, PACE_FLOOR / self.set.instances, KNOWN_LISTED * self._listed_share(d))
         if trial and self.many:
             known *= cold * self.set.fall_multiple * TRIAL_PART
             return max(span, self.random.uniform(0.5, 1.5) * weight / known)
         known *= (1 + self.set.fall_multiple) / 2
         if trial:
-            return max(span, min(weight / (known * cold + EPS), TRIAL_MOST * span))
+            least = min(span, TRIAL_LEAST) if d.rating > 0 and self.set.rated else span
+            return max(least, min(weight / (known * cold + EPS), TRIAL_MOST * span))
         if route.cold_since is None:
             return 0.0
         since = self.now - route.cold_since
@@ -548,11 +554,14 @@
                     or all(may_repeat(self.messages[i], self.now) for i in c.members))]
         if self.set.cancel and old:
             call = min(old, key=lambda c: (c.sent, c.serial))
-            call.left = True
-            for i in sorted(call.members):
-                self.out += [Cancel(i, n) for n, c in self.messages[i].out.items() if c is call]
+            self._call_off(call)
             self._turn_bad(call.endpoint, "silent")  # or calling off would wipe out the evidence of silence
 
+    def _call_off(self, call: Call) -> None:
+        call.left = True
+        for i in sorted(call.members):
+            self.out += [Cancel(i, n) for n, c in self.messages[i].out.items() if c is call]
+
     # --- learning -------------------------------------------------------------------------------------
 
     def _leave(self, m: Message, call: Call) -> bool:
@@ -693,6 +702,7 @@
             base = sum(t >= self.now - 1.0 for t in route.sends) if route.pace is None else route.pace
             share = self._share(d, route) if route.room < ROOM_LOW else math.inf
             least = PACE_LEAST / min(c.deadline for c in self.set.classes)
+            least = max(least, PACE_LISTED * self._listed_share(d))  # other reasons than its limit
             route.pace = max(PACE_FLOOR * self._part(), min(PACE_CUT * base, share), least)
             route.cut_at = self.now
             # At a phase of its own: nodes told to wait until one moment must not all call at its end.
@@ -713,6 +723,10 @@
         even, seen = RATE_MEMORY / self.set.instances, self.now - self.began
         return min(1.0, (self.came / self.listed + even) / (seen + RATE_MEMORY))
 
+    def _listed_share(self, d: Destination) -> float:
+        """This sender's part of the rate that the list gives, in calls a second; 0 where it gives none."""
+        return d.rating / (1 + self.set.rating_off) * (self._part() if self.many else 1 / self.set.instances)
+
     def _usual(self, d: Destination, route: Route) -> float:
         """Part of what a destination takes a second; latest rates would add up to more after bursts."""
         if d.rating > 0:
@@ -729,7 +743,7 @@
         if route.pace is None or self.now < route.step_at - EPS:
             return
         if not route.full_run:
-            step = PACE_STEP * min(1.0, FEW_NODES * self._part())
+            step = max(PACE_STEP * min(1.0, FEW_NODES * self._part()), PACE_RISE * self._listed_share(d))
             span = 1.0 if route.pace >= 1.0 else RATE_MEMORY  # a second tells nothing of fewer calls
             if route.pace > sum(t >= self.now - span for t in route.sends) / span + step:
                 route.pace = None
@@ -746,6 +760,13 @@
         call.overdue = True
         limit = self._overdue_after(ep.dest)
         old = sum(1 for c in ep.calls.values() if c.overdue)
+        lost = ep.route.rate_at > call.sent + limit / 2 and self.now - call.sent >= LOST_TIMES * limit - EPS
+        if self.set.cancel and lost and not call.left and all(
+                may_repeat(self.messages[i], self.now) for i in call.members):
+            # Later ones were answered: this one's connection is lost, or its endpoint where none was there.
+            self._call_off(call)
+            if ep.last_ok <= call.sent:
+                self._turn_bad(ep, "silent")
         if old >= SILENT_CALLS and ep.last_ok <= self.now - limit + EPS and not ep.bad:
             self._turn_bad(ep, "silent")
         if ep.route.sick:
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from nickelscale.interface import Endpoint, Kind, MessageClass, Outcome
+from nickelscale.interface import Cancel, Endpoint, Kind, MessageClass, Outcome
 from tests.helpers import KEYED, SAFE, Node, refused, sends, settings
 
 
@@ -207,3 +207,58 @@
         node.arrive()
         node.settle(node.serial)
     assert sum(act == node.sender._idle for _, _, act, _ in node.sender.due) == 1
+
+
+def listed(rating: float, **changes: object) -> Node:
+    """Two senders' one destination, with two endpoints and a listed rate."""
+    config = settings(KEYED, instances=2, rated=True, **changes)
+    return Node(config, tuple(Endpoint(n, 1, rating=rating) for n in (10, 11)))
+
+
+def test_a_refusal_paces_to_no_less_than_part_of_the_listed_share() -> None:
+    # Guards large destinations: a 503 of another cause left 4 of 240 calls a second.
+    for rating, pace in ((400.0, 80.0), (0.0, 1.0)):
+        node = listed(rating)
+        node.arrive()
+        node.settle(node.serial, Outcome.FULL)
+        assert node.sender.dests[1].shared.pace == pytest.approx(pace)
+
+
+def test_a_call_that_later_ones_overtook_is_called_off_and_made_again() -> None:
+    # Guards the slots: a connection that falls silent held one until its message's end, and then failed it.
+    node = listed(0.0)
+    lost = 2
+    for _ in range(30):
+        node.arrive()
+        node.run(0.1)
+        if node.serial != lost:
+            node.settle(node.serial)
+    assert [a.message for _, a in node.log if isinstance(a, Cancel)] == [lost]
+    assert not node.sender.dests[1].shared.sick
+    node.settle(lost, Outcome.CANCELLED)
+    assert sends(node.run(1.0)) == [lost]
+
+
+def test_trials_and_warming_go_by_the_listed_share() -> None:
+    # Guards the return of large destinations: a trial each 3 s, then as many calls as were delivered lately.
+    def calls(rating: float) -> tuple[int, int]:
+        node = listed(rating, cold_share=0.2, fall_multiple=2.0, fall_span=3.0, slots=40)
+        node.arrive(count=4)
+        for message in range(1, 5):
+            node.settle(message, Outcome.CONNECT_FAILED)
+        for _ in range(4):
+            for message in sends(node.run(0.5)):
+                node.settle(message, Outcome.CONNECT_FAILED)
+        assert node.sender.dests[1].shared.sick
+        counted = []
+        for outcome in (Outcome.CONNECT_FAILED, Outcome.OK):
+            before = sum(node.attempts.values())
+            for _ in range(300):
+                for message in sends(node.arrive(budget=60.0)) + sends(node.run(0.02)):
+                    node.settle(message, outcome)
+            counted.append(sum(node.attempts.values()) - before)
+        return counted[0], counted[1]
+
+    (trials, warming), (few, slow) = calls(100.0), calls(0.0)
+    assert few <= 2 < trials <= 7
+    assert slow < 20 < warming < 6 * 100.0 * 1.5 / 2  # rule 4 leaves twice of what both send
