--- a/juniperward/__main__.py
+++ b/juniperward/__main__.py
@@ -14,7 +14,7 @@
 from juniperward.loop import Loop
 from juniperward.messages import Heard, Replayed, Stop
 from juniperward.net.registry import Registry
-from juniperward.net.server import Server
+from juniperward.net.server import LEAVING, Server
 from juniperward.net.workers import Workers
 from juniperward.reducer import Reducer
 from juniperward.reload import Reloader
@@ -31,7 +31,7 @@
     reducer = Reducer(config.settings, config.seed)
     loop = Loop(reducer, journal)
     slots = config.settings.slots
-    loop.server = Server(config.listen, config.names, max(config.sockets // 2, 16), loop.post)
+    loop.server = Server(config.listen, config.names, max(config.sockets // 2 - LEAVING, 16), loop.post)
     loop.workers = Workers(
         config.settings.dial_timeout,
         config.settings.keepalive,
