--- a/nickelscale/rules.py
+++ b/nickelscale/rules.py
@@ -21,7 +21,7 @@
 
 HEALTHY_CAP, SICK_CAP = 0.75, 0.5  # share of the slots that one destination may fill (design)
 PACE_CUT, PACE_FLOOR, PACE_STEP = 0.5, 1.0, 1.0  # pace: cut, floor (calls/s), growth a second (design)
-PACE_LISTED, PACE_RISE = 0.4, 0.1  # x this sender's share of the listed rate: least pace, growth a second
+PACE_LISTED, PACE_RISE = 0.9, 0.2  # x this sender's share of the listed rate: least pace, growth a second
 PACE_LEAST = 2.0  # calls within a message's time that the pace leaves at least
 ROOM_LOW = 0.2  # share of a told limit left under which it counts as used up
 FEW_NODES = 5  # up to so many nodes each takes the design's figures whole
