Count calls against a pace, not what they carry

At fault: _count divided the weight of a full call (5.75) by the pace. The weight stays for the cold capacity.

--- a/nickelscale/rules.py
+++ b/nickelscale/rules.py
@@ -505,7 +505,7 @@
             route.sends.popleft()
         gap = self._cold_gap(d, route, weight, route.sick)
         if route.pace is not None:
-            gap = max(gap, weight / route.pace)
+            gap = max(gap, 1.0 / route.pace)  # a limit counts calls, whatever they carry
         route.next_at = max(route.next_at, self.now) + gap
         self._by_told(route)
         if ep.bad:
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from nickelscale.interface import Cancel, Endpoint, Kind, MessageClass, Outcome
+from nickelscale.interface import Cancel, Endpoint, Kind, MessageClass, Outcome, Send
 from tests.helpers import KEYED, SAFE, Node, refused, sends, settings
 
 
@@ -262,3 +262,14 @@
     (trials, warming), (few, slow) = calls(100.0), calls(0.0)
     assert few <= 2 < trials <= 7
     assert slow < 20 < warming < 6 * 100.0 * 1.5 / 2  # rule 4 leaves twice of what both send
+
+
+def test_a_pace_counts_calls_and_not_what_they_carry() -> None:
+    # Guards a paced destination of full calls: each was charged as nearly six, and the queue grew.
+    node = gathering()
+    node.arrive()
+    node.settle(node.serial, Outcome.FULL)
+    node.arrive(count=200)
+    sent = node.run(5.0)
+    calls = len({at for at, a in node.log if isinstance(a, Send)})
+    assert 6 <= calls <= 10 and len(sends(sent)) >= 120
