--- a/juniperward/net/server.py
+++ b/juniperward/net/server.py
@@ -26,7 +26,7 @@
 FIRST = 2.0  # seconds from connecting in which the first call must be whole
 CALL = 2.0  # seconds from its first byte in which a later call must be whole
 IDLE = 10.0  # seconds after which a connection that nothing comes on is closed
-SPARE_IDLE, SPARE_SILENT = 2.0, 0.25  # the same where the table is full: after a call, before the first
+SPARE_IDLE, SPARE_SILENT = 0.1, 0.25  # the same where the table is full: after a call, before the first
 LEAVING = 16  # connections that may be on their way out beside a full table
 PATIENCE = 0.35  # seconds for the reducer's answer; the client waits for 0.4
 LINGER = 0.2  # seconds to read on after a refusal, or a reset could overtake it
