--- a/juniperward/net/server.py
+++ b/juniperward/net/server.py
@@ -176,7 +176,8 @@
         ]  # fmt: skip
         if not free:
             return False
-        client = min(free, key=lambda c: c.since)
+        # One that has been answered sends again elsewhere; the first call of another would have failed.
+        client = min(free, key=lambda c: (not c.served, c.since))
         client.leaving = True
         count("clients_spared")
         # Reading ends once what has come is read: a call that crosses this is still answered.
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -155,7 +155,7 @@
         self.assertFalse(server.answer(2, 202))
 
 
-    def test_a_full_table_lets_the_longest_idle_go(self) -> None:
+    def test_a_full_table_lets_the_longest_idle_of_those_answered_go(self) -> None:
         # Guards usual clients: those that asked once and stayed, or never asked, kept all places. A crowd
         # with a connection for each message was turned away when each had to stay idle for seconds.
         server = Server(("127.0.0.1", 0), NAMES, 3, lambda event: None)
@@ -170,7 +170,9 @@
             client = server.clients[number] = Client(number, ours)
             client.served, client.since = served, now - age
         with server.lock:
-            self.assertEqual([server._spare() for _ in range(3)], [True, True, False])
+            self.assertTrue(server._spare())  # not the one before its first call, which would fail
+            self.assertEqual([server.clients[n].leaving for n in (1, 2, 3)], [False, False, True])
+            self.assertEqual([server._spare(), server._spare()], [True, False])
         self.assertEqual([server.clients[n].leaving for n in (1, 2, 3)], [False, True, True])
 
     def test_a_call_must_be_whole_in_its_time(self) -> None:
