--- /dev/null
+++ b/juniperward/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool."""
--- a/juniperward/net/codec.py
+++ b/juniperward/forwarder/codec.py
@@ -7,8 +7,8 @@
 
 import re
 
-from juniperward.config import Names
-from juniperward.messages import Call
+from juniperward.forwarder.config import Names
+from juniperward.forwarder.messages import Call
 from juniperward.net.http import HttpCall, encode_response
 
 PATH = "/api"
--- a/juniperward/config.py
+++ b/juniperward/forwarder/config.py
@@ -8,8 +8,8 @@
 from pathlib import Path
 from typing import Any
 
-from juniperward.counters import count, log
-from juniperward.messages import Worker
+from juniperward.forwarder.counters import count, log
+from juniperward.forwarder.messages import Worker
 from nickelscale.benchlink import settings_from
 from nickelscale.interface import Phase, Settings
 
--- a/juniperward/journal.py
+++ b/juniperward/forwarder/journal.py
@@ -15,8 +15,19 @@
 from pathlib import Path
 from typing import Any
 
-from juniperward.counters import count, log
-from juniperward.messages import Began, Call, Decided, Delegated, Ended, Notice, Over, Record, Restored, Taken
+from juniperward.forwarder.counters import count, log
+from juniperward.forwarder.messages import (
+    Began,
+    Call,
+    Decided,
+    Delegated,
+    Ended,
+    Notice,
+    Over,
+    Record,
+    Restored,
+    Taken,
+)
 
 NAME, FRESH = "journal", "journal.new"
 BLOCK = 512  # the disk is counted in whole blocks
--- a/juniperward/loop.py
+++ b/juniperward/forwarder/loop.py
@@ -7,9 +7,9 @@
 import time
 from collections.abc import Callable
 
-from juniperward.counters import count, log, trouble
-from juniperward.journal import Journal, JournalFull
-from juniperward.messages import (
+from juniperward.forwarder.counters import count, log, trouble
+from juniperward.forwarder.journal import Journal, JournalFull
+from juniperward.forwarder.messages import (
     Abandon,
     Append,
     Bar,
@@ -30,10 +30,10 @@
     Wake,
     WatchFrom,
 )
-from juniperward.net.registry import Registry
-from juniperward.net.server import Server
-from juniperward.net.workers import Workers
-from juniperward.reducer import Reducer
+from juniperward.forwarder.reducer import Reducer
+from juniperward.forwarder.registry import Registry
+from juniperward.forwarder.server import Server
+from juniperward.forwarder.workers import Workers
 
 AT_ONCE = 500  # events of one round at most
 SWEEP = 1.0  # seconds between looks at idle connections
--- a/juniperward/reducer.py
+++ b/juniperward/forwarder/reducer.py
@@ -12,8 +12,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from juniperward.counters import count, holds, trouble
-from juniperward.messages import (
+from juniperward.forwarder.counters import count, holds, trouble
+from juniperward.forwarder.messages import (
     Abandon,
     Answered,
     Append,
--- a/juniperward/net/registry.py
+++ b/juniperward/forwarder/registry.py
@@ -10,9 +10,9 @@
 from collections.abc import Callable
 from typing import Any
 
-from juniperward.config import Names, read_news
-from juniperward.counters import count, log, trouble
-from juniperward.messages import Event, Heard, Notice, Noticed, WatchLost
+from juniperward.forwarder.config import Names, read_news
+from juniperward.forwarder.counters import count, log, trouble
+from juniperward.forwarder.messages import Event, Heard, Notice, Noticed, WatchLost
 from juniperward.net import sockets
 from juniperward.net.http import Broken, Malformed, Stream, chunks, encode_call, read_head, read_response
 
--- a/juniperward/reload.py
+++ b/juniperward/forwarder/reload.py
@@ -9,9 +9,9 @@
 from collections.abc import Mapping
 from dataclasses import fields
 
-from juniperward.config import Config, ConfigError, load
-from juniperward.counters import count, log
-from juniperward.messages import Moved
+from juniperward.forwarder.config import Config, ConfigError, load
+from juniperward.forwarder.counters import count, log
+from juniperward.forwarder.messages import Moved
 
 AT_ONCE = {"registry", "known", "seed"}  # the last two are of the moment of a start
 
--- a/juniperward/net/server.py
+++ b/juniperward/forwarder/server.py
@@ -7,11 +7,11 @@
 import time
 from collections.abc import Callable
 
-from juniperward.config import Names
-from juniperward.counters import count, holds, log, trouble
-from juniperward.messages import Event, Handed
+from juniperward.forwarder.codec import PATH, BadCall, decode_call, encode_reply
+from juniperward.forwarder.config import Names
+from juniperward.forwarder.counters import count, holds, log, trouble
+from juniperward.forwarder.messages import Event, Handed
 from juniperward.net import sockets
-from juniperward.net.codec import PATH, BadCall, decode_call, encode_reply
 from juniperward.net.http import (
     Broken,
     Closed,
--- /dev/null
+++ b/juniperward/forwarder/start.py
@@ -0,0 +1,109 @@
+"""Start, signals, and the counters at the end: `python -O -m juniperward`."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+import threading
+import time
+
+from juniperward.forwarder.config import Config, ConfigError, load
+from juniperward.forwarder.counters import count, log, report, trouble
+from juniperward.forwarder.journal import Journal
+from juniperward.forwarder.loop import Loop
+from juniperward.forwarder.messages import Heard, Replayed, Stop
+from juniperward.forwarder.reducer import Reducer
+from juniperward.forwarder.registry import Registry
+from juniperward.forwarder.reload import Reloader
+from juniperward.forwarder.server import LEAVING, Server
+from juniperward.forwarder.workers import Workers
+
+STACK = 128 * 1024  # bytes for each thread; docs/architecture.md has the measurement
+SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP}
+STOP_WITHIN = 3.3  # seconds from SIGTERM to the end; SIGKILL follows after 3.7
+STILL_OPEN = 0.8  # seconds from SIGTERM for which new connections are answered
+
+
+def build(config: Config) -> Loop:
+    """Put the parts together; the journal is replayed and nothing runs yet."""
+    journal = Journal(config.state, config.disk_bytes, time.time() - time.monotonic())
+    reducer = Reducer(config.settings, config.seed)
+    loop = Loop(reducer, journal)
+    slots = config.settings.slots
+    loop.server = Server(config.listen, config.names, max(config.sockets // 2 - LEAVING, 16), loop.post)
+    loop.workers = Workers(
+        config.settings.dial_timeout,
+        config.settings.keepalive,
+        most_threads=min(2 * slots + 8, max(config.sockets // 4, 8)),
+        most_idle=max(config.sockets // 8, 8),
+        post=loop.post,
+    )
+    loop.registry = Registry(config.registry, config.names, loop.post)
+    return loop
+
+
+def run(config: Config) -> int:
+    """Serve until a signal ends it."""
+    threading.stack_size(STACK)
+    loop = build(config)
+    done = threading.Event()
+
+    def work() -> None:
+        try:
+            loop.run(done.is_set)
+        except BaseException as error:
+            trouble("loop", error)
+            report()
+            os._exit(70)  # nothing can be taken on or ended without it; the journal has what is owed
+
+    known = config.known
+    loop.registry.start()
+    loop.round([Heard(known.version, known.full, known.workers, known=True)])
+    restored = loop.journal.restored()
+    loop.round([Replayed(restored)])
+    thread = threading.Thread(target=work, name="loop")
+    thread.start()
+    loop.server.start()
+    log("start", f"{config.name} serves on {config.listen[0]}:{config.listen[1]}, {len(restored)} restored")
+    log("start", f"the registry is at {config.registry[0]}:{config.registry[1]}")
+    reloader = Reloader(config, os.environ)
+    while (got := signal.sigwait(SIGNALS)) in (signal.SIGUSR1, signal.SIGHUP):
+        if got == signal.SIGUSR1:
+            report()
+            continue
+        try:
+            if (moved := reloader.again()) is not None:
+                loop.post(moved)
+        except Exception as error:
+            trouble("reload", error)
+    began = time.monotonic()
+    log("stop", f"{signal.Signals(got).name}: new messages are turned away from now on")
+    count("stops")
+    loop.post(Stop(began + STILL_OPEN, began + STOP_WITHIN))
+    loop.server.stop()
+    thread.join(STILL_OPEN)
+    loop.server.close()
+    thread.join(began + STOP_WITHIN + 0.2 - time.monotonic())
+    done.set()
+    log("stop", "ended")
+    report()
+    sys.stderr.flush()
+    os._exit(0)  # threads that wait on sockets would be waited for otherwise
+
+
+def main() -> int:
+    """The exit code: 0 stopped, 2 a configuration that cannot be used, 1 anything else at the start."""
+    # From the very start: a SIGHUP before its handling would kill the process.
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
+    try:
+        config = load(os.environ)
+    except ConfigError as error:
+        print(f"juniperward: configuration: {error}", file=sys.stderr)
+        return 2
+    try:
+        return run(config)
+    except OSError as error:
+        print(f"juniperward: cannot start: {error}", file=sys.stderr)
+        return 1
+
--- a/juniperward/net/workers.py
+++ b/juniperward/forwarder/workers.py
@@ -13,8 +13,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from juniperward.counters import count, log, trouble
-from juniperward.messages import Answered, Delegate, End, Event
+from juniperward.forwarder.counters import count, log, trouble
+from juniperward.forwarder.messages import Answered, Delegate, End, Event
 from juniperward.net import sockets
 from juniperward.net.http import Broken, Malformed, Response, Stream, encode_call, read_response
 from nickelscale.interface import Outcome
--- a/juniperward/net/__init__.py
+++ b/juniperward/net/__init__.py
@@ -1,1 +1,1 @@
-"""Everything that touches a socket, and the parser and encoder of HTTP/1.1."""
+"""What every program of ours shares: the parser and encoder of HTTP/1.1, helpers for sockets."""
--- /dev/null
+++ b/juniperward/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Registry, partners, clients and the sink of notices, written for this project; and the checker."""
--- a/nickelscale/rules.py
+++ b/nickelscale/rules.py
@@ -13,8 +13,31 @@
 from collections.abc import Callable, Iterable
 
 from nickelscale.interface import (
-    Action, Arrived, Cancel, Close, DedupScope, Effect, Event, Fail, Kind, Listed, ListScope, Log, Outcome,
-    Phase, Probe, Probed, Refuse, Send, SetTimer, Settings, Settled, TimerFired, Tried, Watch, Withdrawn,
+    Action,
+    Arrived,
+    Cancel,
+    Close,
+    DedupScope,
+    Effect,
+    Event,
+    Fail,
+    Kind,
+    Listed,
+    ListScope,
+    Log,
+    Outcome,
+    Phase,
+    Probe,
+    Probed,
+    Refuse,
+    Send,
+    SetTimer,
+    Settings,
+    Settled,
+    TimerFired,
+    Tried,
+    Watch,
+    Withdrawn,
 )
 from nickelscale.interface import Endpoint as Entry
 from nickelscale.state import Call, Destination, Endpoint, Message, Route, Turn
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -11,9 +11,9 @@
 from pathlib import Path
 from typing import Any
 
-from juniperward.config import ConfigError, address, load
-from juniperward.messages import Moved
-from juniperward.reload import Reloader
+from juniperward.forwarder.config import ConfigError, address, load
+from juniperward.forwarder.messages import Moved
+from juniperward.forwarder.reload import Reloader
 from tests.player import ROOT, SETTINGS
 
 GOOD: dict[str, Any] = {
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -8,8 +8,8 @@
 from pathlib import Path
 from unittest import mock
 
-from juniperward.journal import BLOCK, FRESH, NAME, Journal, JournalFull
-from juniperward.messages import Began, Call, Decided, Delegated, Ended, Notice, Over, Taken
+from juniperward.forwarder.journal import BLOCK, FRESH, NAME, Journal, JournalFull
+from juniperward.forwarder.messages import Began, Call, Decided, Delegated, Ended, Notice, Over, Taken
 
 DISK = 200_000
 
@@ -96,7 +96,7 @@
             real(file, bytes(data)[:10])
             raise OSError(28, "No space left on device")
 
-        with mock.patch("juniperward.journal.os.write", short), self.assertRaises(OSError):
+        with mock.patch("juniperward.forwarder.journal.os.write", short), self.assertRaises(OSError):
             j.append(Taken(call("a"), 20.0))
         j.append(Taken(call("b"), 20.0))
         self.assertEqual([r.call.id for r in self.open().restored()], ["b"])
@@ -119,7 +119,7 @@
             real(old, new)
 
         turned_away = 0
-        with mock.patch("juniperward.journal.os.rename", look):
+        with mock.patch("juniperward.forwarder.journal.os.rename", look):
             for n in range(1500):
                 try:
                     j.append(Taken(call(f"m{n}", 1500), 20.0))
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -8,10 +8,10 @@
 from typing import cast
 from unittest import mock
 
-from juniperward.journal import NAME, Journal, JournalFull
-from juniperward.loop import Loop
-from juniperward.messages import Call, Handed, Heard, Worker
-from juniperward.reducer import Reducer
+from juniperward.forwarder.journal import NAME, Journal, JournalFull
+from juniperward.forwarder.loop import Loop
+from juniperward.forwarder.messages import Call, Handed, Heard, Worker
+from juniperward.forwarder.reducer import Reducer
 from nickelscale.interface import Phase
 from tests.helpers import KEYED, settings
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -9,14 +9,14 @@
 import unittest
 from unittest import mock
 
-from juniperward.config import Names
-from juniperward.messages import Answered, Call, Delegate, End, Event, Parcel
-from juniperward.net import server as server_module
-from juniperward.net import workers as workers_module
-from juniperward.net.codec import BadCall, decode_call
+from juniperward.forwarder import server as server_module
+from juniperward.forwarder import workers as workers_module
+from juniperward.forwarder.codec import BadCall, decode_call
+from juniperward.forwarder.config import Names
+from juniperward.forwarder.messages import Answered, Call, Delegate, End, Event, Parcel
+from juniperward.forwarder.server import Client, Server
+from juniperward.forwarder.workers import Workers, read_ends, read_wait
 from juniperward.net.http import Broken, HttpCall, Malformed, Response, Stream, read_call, read_response
-from juniperward.net.server import Client, Server
-from juniperward.net.workers import Workers, read_ends, read_wait
 from nickelscale.interface import Outcome
 
 NAMES = Names(("c",), (12.0,), (), (), ())
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -5,7 +5,7 @@
 import unittest
 from typing import Any
 
-from juniperward.messages import (
+from juniperward.forwarder.messages import (
     Abandon,
     Answered,
     Append,
@@ -42,7 +42,7 @@
     WatchLost,
     Worker,
 )
-from juniperward.reducer import Reducer
+from juniperward.forwarder.reducer import Reducer
 from nickelscale.interface import Kind, Outcome, Phase
 from tests.helpers import KEYED, ONCE, settings
 
