Open a control channel to a forwarder where its settings name a socket

Need: whoever looks after many forwarders must see their state and drain them without logging in. A Unix socket of mode 0600, framed JSON, typed once: status, destinations, workers, counters, drain, resume, stop. Requests are events of the reducer, answers its effects; each client has a thread, a pace and time limits of its own, and answers are encoded there, not in the loop.

--- /dev/null
+++ b/juniperward/control/protocol.py
@@ -0,0 +1,266 @@
+"""The control channel's protocol without sockets: frames, and the typed values that travel in them.
+
+A frame is a length (4 bytes, big-endian) and so many bytes of JSON. A client sends one request at a time,
+`{"v": 1, "id": N, "verb": "status"}`, and gets one answer, `{"v": 1, "id": N, "ok": true, "body": ...}` or
+`{"v": 1, "id": N, "ok": false, "error": TEXT}`. Every value is typed once, here; all times are seconds.
+Unknown fields of an answer are passed over, so that a newer forwarder can be asked by an older agent.
+"""
+
+from __future__ import annotations
+
+import json
+import struct
+import types
+import typing
+from collections.abc import Callable
+from dataclasses import asdict, dataclass, fields, is_dataclass
+from enum import StrEnum
+from typing import Any, TypeVar
+
+VERSION = 1
+MOST_REQUEST = 4096  # bytes: a request holds three small fields
+MOST_ANSWER = 16 * 1024 * 1024  # bytes: thousands of destinations in one
+MOST_OPEN = 4  # arrays and objects in a request: the decoder must not go down far in a small stack
+HEAD = struct.Struct("!I")
+
+T = TypeVar("T")
+
+
+class ProtocolError(Exception):
+    """What came is no frame of this protocol, or no value of the type that it should be."""
+
+
+class ControlError(Exception):
+    """The channel's socket cannot be opened as the settings ask; one plain line."""
+
+
+class Verb(StrEnum):
+    """What can be asked of a forwarder."""
+
+    STATUS = "status"
+    DESTINATIONS = "destinations"
+    WORKERS = "workers"
+    COUNTERS = "counters"
+    DRAIN = "drain"
+    RESUME = "resume"
+    STOP = "stop"
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """A question; `id` comes back with its answer."""
+
+    id: int
+    verb: Verb
+
+
+@dataclass(frozen=True, slots=True)
+class Status:
+    """The state of one forwarder.
+
+    `phase` is `serving`, `draining`, `drained` or `stopping`. `oldest_held` is the age of the oldest message
+    held, `registry_age` the time since the registry's last word (negative before the first). The figures from
+    `taken_on` on count since the start of the process; `calls_failed` are calls that ended neither delivered
+    nor turned away.
+    """
+
+    name: str
+    version: str
+    pid: int
+    started: float  # Unix time of the process's start
+    phase: str
+    ready: bool
+    held: int
+    offered: int
+    owed: int
+    calls_out: int
+    slots: int
+    max_open: int
+    oldest_held: float
+    journal_bytes: int
+    journal_live: int
+    registry_version: int
+    registry_age: float
+    destinations: int
+    destinations_sick: int
+    taken_on: int
+    restored: int
+    delivered: int
+    given_up: int
+    turned_away: int
+    calls: int
+    calls_failed: int
+    broken: int  # invariants that did not hold
+
+    @property
+    def owing(self) -> int:
+        """Messages that this process still owes an end or a notice."""
+        return self.held + self.offered + self.owed
+
+
+@dataclass(frozen=True, slots=True)
+class Destination:
+    """One destination as the decision module sees it.
+
+    `health` is `well`, `failing`, `warming` or `unknown` (no call has ended yet). `pace` is in calls a
+    second, None where there is none; `wait` is the rest of a told wait.
+    """
+
+    destination: int
+    health: str
+    waiting: int
+    in_flight: int
+    pace: float | None
+    rating: float
+    wait: float
+    warming: float | None  # seconds since it answered again
+    latency: float | None  # running mean
+    endpoints: int
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerRow:
+    """One worker as the registry lists it, with what is out to it; `phase` is ready, draining or gone."""
+
+    id: str
+    address: str
+    destination: int
+    phase: str
+    kind: int
+    in_flight: int
+
+
+@dataclass(frozen=True, slots=True)
+class Counters:
+    """All counters that are not zero, by name."""
+
+    counters: dict[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Rows:
+    """The answer to `destinations` or to `workers`; one of the two is empty."""
+
+    destinations: tuple[Destination, ...] = ()
+    workers: tuple[WorkerRow, ...] = ()
+
+
+Body = Status | Rows | Counters
+BODIES: dict[Verb, type[Any]] = {
+    Verb.STATUS: Status,
+    Verb.DESTINATIONS: Rows,
+    Verb.WORKERS: Rows,
+    Verb.COUNTERS: Counters,
+    Verb.DRAIN: Status,
+    Verb.RESUME: Status,
+    Verb.STOP: Status,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """What a forwarder says to a request: a body, or the text of an error."""
+
+    id: int
+    body: Body | None
+    error: str = ""
+
+
+# --- frames ---------------------------------------------------------------------------------------------
+
+
+def frame(value: Any) -> bytes:
+    """A value as a frame."""
+    text = json.dumps(value, separators=(",", ":")).encode()
+    return HEAD.pack(len(text)) + text
+
+
+def read_frame(exactly: Callable[[int], bytes], most: int) -> bytes:
+    """The text of the next frame; `exactly` gives so many bytes or raises. Raises ProtocolError."""
+    (length,) = HEAD.unpack(exactly(HEAD.size))
+    if not 0 < length <= most:
+        raise ProtocolError(f"a frame of {length} bytes; at most {most} are taken")
+    return exactly(length)
+
+
+def encode_request(request: Request) -> bytes:
+    """A request as a frame."""
+    return frame({"v": VERSION, "id": request.id, "verb": request.verb.value})
+
+
+def decode_request(text: bytes) -> Request:
+    """Raises ProtocolError, whatever came."""
+    if text.count(b"{") + text.count(b"[") > MOST_OPEN:
+        raise ProtocolError("a request holds one flat object")
+    try:
+        given = json.loads(text)
+        version, number, verb = given["v"], given["id"], given["verb"]
+    except (ValueError, KeyError, TypeError) as error:
+        raise ProtocolError(f"not a request: {type(error).__name__}: {error}") from error
+    if version != VERSION:
+        raise ProtocolError(f"version {version!r} is not spoken here; {VERSION} is")
+    if type(number) is not int or not 0 <= number < 2**53:
+        raise ProtocolError("id: a whole number is needed")
+    try:
+        return Request(number, Verb(verb))
+    except ValueError as error:
+        raise ProtocolError(f"verb: no such verb: {verb!r}") from error
+
+
+def encode_answer(answer: Answer) -> bytes:
+    """An answer as a frame."""
+    row: dict[str, Any] = {"v": VERSION, "id": answer.id, "ok": answer.body is not None}
+    if answer.body is None:
+        row["error"] = answer.error
+    else:
+        row["body"] = asdict(answer.body)
+    return frame(row)
+
+
+def decode_answer(text: bytes, verb: Verb) -> Answer:
+    """The answer to a request with this verb; raises ProtocolError."""
+    try:
+        given = json.loads(text)
+        if given["v"] != VERSION:
+            raise ProtocolError(f"an answer of version {given['v']!r}; {VERSION} is spoken here")
+        if not given["ok"]:
+            return Answer(int(given["id"]), None, str(given["error"]))
+        return Answer(int(given["id"]), typed(BODIES[verb], given["body"], "body"))
+    except (ValueError, KeyError, TypeError, RecursionError) as error:
+        raise ProtocolError(f"not an answer: {type(error).__name__}: {error}") from error
+
+
+def typed(kind: type[T], value: Any, place: str) -> T:
+    """Make a value of plain JSON one of a dataclass; raises ProtocolError that names the place."""
+    if not isinstance(value, dict):
+        raise ProtocolError(f"{place}: an object is needed, not {type(value).__name__}")
+    hints = typing.get_type_hints(kind)
+    given = {}
+    for f in fields(kind):  # type: ignore[arg-type]
+        if f.name in value:
+            given[f.name] = _one(hints[f.name], value[f.name], f"{place}.{f.name}")
+    try:
+        return kind(**given)
+    except TypeError as error:
+        raise ProtocolError(f"{place}: {error}") from error
+
+
+def _one(hint: Any, value: Any, place: str) -> Any:
+    origin, arguments = typing.get_origin(hint), typing.get_args(hint)
+    if origin is types.UnionType:
+        return None if value is None else _one(arguments[0], value, place)
+    if origin is tuple:
+        if not isinstance(value, list):
+            raise ProtocolError(f"{place}: an array is needed")
+        return tuple(_one(arguments[0], x, f"{place}[{n}]") for n, x in enumerate(value))
+    if origin is dict:
+        if not isinstance(value, dict):
+            raise ProtocolError(f"{place}: an object is needed")
+        return {str(k): _one(arguments[1], x, f"{place}.{k}") for k, x in value.items()}
+    if is_dataclass(hint):
+        return typed(typing.cast(type[Any], hint), value, place)
+    if hint is float and type(value) in (int, float):
+        return float(value)
+    if type(value) is not hint:
+        raise ProtocolError(f"{place}: {hint.__name__} is needed, not {value!r}")
+    return value
--- a/juniperward/forwarder/config.py
+++ b/juniperward/forwarder/config.py
@@ -54,6 +54,7 @@
     settings: Settings
     names: Names
     known: News
+    control: Path | None = None  # the control channel's socket; none is opened without it
 
 
 def address(text: str) -> tuple[str, int]:
@@ -135,4 +136,13 @@
         settings=settings_from(raw),
         names=names,
         known=read_news(given["known"], names),
+        control=_control(given.get("control")),
     )
+
+
+def _control(value: Any) -> Path | None:
+    if value is None:
+        return None
+    if not isinstance(value, str) or not value.startswith("/"):
+        raise ValueError(f"control: the absolute path of a socket is needed, not {value!r}")
+    return Path(value)
--- a/juniperward/forwarder/journal.py
+++ b/juniperward/forwarder/journal.py
@@ -9,8 +9,10 @@
 
 import base64
 import errno
+import fcntl
 import json
 import os
+import time
 import zlib
 from pathlib import Path
 from typing import Any
@@ -34,6 +36,7 @@
 LIVE_PART = 0.45  # part of the disk that messages not yet over may fill; a rewrite doubles it for a moment
 SLACK = 65536  # a file is not rewritten for less than this
 LEAST_GAIN = 16384  # nor for less than this of what is over
+PATIENCE = 0.5  # seconds in which the process before may still let go of the folder
 NOTES = 400  # bytes kept free for each message not over: three delegations with their ends, and its own end
 
 _encode = json.JSONEncoder(separators=(",", ":")).encode
@@ -112,6 +115,34 @@
                     self.open[name] = Restored(r.call, r.expires, history, r.notice)
 
 
+class FolderTaken(OSError):
+    """Another process works in this state folder."""
+
+
+def take_folder(folder: Path, patience: float = PATIENCE) -> int:
+    """Lock a state folder for this process: two must never share a journal.
+
+    The lock is on the folder itself, so it takes no room on a small disk, and the kernel lets go of it when
+    the process ends, however that happens. Raises FolderTaken after `patience` seconds. The descriptor that
+    comes back holds the lock for as long as it is open.
+    """
+    file = os.open(folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+    until = time.monotonic() + patience
+    while True:
+        try:
+            fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            if time.monotonic() >= until:
+                os.close(file)
+                raise FolderTaken(errno.EBUSY, f"{folder}: another forwarder works in this folder") from None
+            time.sleep(0.02)  # the one before us may be on its way out
+        except OSError as error:
+            log("start", f"{folder}: cannot be locked: {error.strerror}; nothing keeps a second one out")
+            return file
+        else:
+            return file
+
+
 class Journal:
     """The file and what it holds; used by one thread only."""
 
--- a/juniperward/forwarder/loop.py
+++ b/juniperward/forwarder/loop.py
@@ -6,7 +6,9 @@
 import queue
 import time
 from collections.abc import Callable
+from dataclasses import replace
 
+from juniperward.control.protocol import Answer, Status
 from juniperward.forwarder.counters import count, log, trouble
 from juniperward.forwarder.journal import Journal, JournalFull
 from juniperward.forwarder.messages import (
@@ -15,8 +17,10 @@
     Bar,
     CloseIdle,
     Delegate,
+    Doors,
     Due,
     Effect,
+    EndProcess,
     Event,
     ForgetWorker,
     Hold,
@@ -26,6 +30,7 @@
     Reply,
     Say,
     TakeOn,
+    Tell,
     TookOn,
     Wake,
     WatchFrom,
@@ -53,6 +58,9 @@
         self.server: Server
         self.workers: Workers
         self.registry: Registry
+        self.tell: Callable[[int, Answer], None] = lambda client, answer: None  # of the control channel
+        self.end_process: Callable[[], None] = lambda: None
+        self.name, self.started = "", 0.0
 
     def post(self, event: Event) -> None:
         """Any thread may call this, and a signal's handler."""
@@ -134,6 +142,22 @@
                 heapq.heappush(self.timers, (at, self.serial, due))
             case Say(text=text):
                 log("module", text)
+            case Tell(client=client, answer=answer):
+                self.tell(client, self._complete(answer))
+            case Doors(open=is_open):
+                self.server.doors(is_open)
+            case EndProcess():
+                self.end_process()
+
+    def _complete(self, answer: Answer) -> Answer:
+        """Put in what the reducer does not know: names, and how large the journal is."""
+        if not isinstance(answer.body, Status):
+            return answer
+        j = self.journal
+        body = replace(
+            answer.body, name=self.name, started=self.started, journal_bytes=j.size, journal_live=j.live_bytes
+        )
+        return replace(answer, body=body)
 
     def _take_on(self, client: int, record: Record) -> bool:
         """The journal first, then the client: what a client was told outlasts this process."""
--- a/juniperward/forwarder/messages.py
+++ b/juniperward/forwarder/messages.py
@@ -8,6 +8,7 @@
 
 from dataclasses import dataclass
 
+from juniperward.control.protocol import Answer, Request
 from nickelscale.interface import Outcome, Phase
 
 # --- values -----------------------------------------------------------------------------------------
@@ -222,8 +223,16 @@
     until: float
 
 
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """A client of the control channel asks something of this forwarder."""
+
+    client: int
+    request: Request
+
+
 Due = ModuleTimer | TimeUp | CalledOff
-Event = Replayed | Handed | TookOn | Answered | Heard | WatchLost | Moved | Noticed | Due | Stop
+Event = Replayed | Handed | TookOn | Answered | Heard | WatchLost | Moved | Noticed | Due | Stop | Asked
 
 # --- effects -----------------------------------------------------------------------------------------
 
@@ -349,7 +358,27 @@
     text: str
 
 
+@dataclass(frozen=True, slots=True)
+class Tell:
+    """Answer a client of the control channel."""
+
+    client: int
+    answer: Answer
+
+
+@dataclass(frozen=True, slots=True)
+class Doors:
+    """Have the ready page say yes or no; while it says no, answers to clients end their connections."""
+
+    open: bool
+
+
+@dataclass(frozen=True, slots=True)
+class EndProcess:
+    """Begin the planned end of the process, as SIGTERM would."""
+
+
 Effect = (
     TakeOn | Reply | Append | Delegate | Abandon | CloseIdle | Bar | ForgetWorker | Hold | WatchFrom | MoveTo
-    | Notify | Wake | Say
+    | Notify | Wake | Say | Tell | Doors | EndProcess
 )
--- a/juniperward/forwarder/reducer.py
+++ b/juniperward/forwarder/reducer.py
@@ -12,11 +12,14 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from juniperward.control.protocol import Answer, Verb
+from juniperward.forwarder import telling
 from juniperward.forwarder.counters import count, holds, trouble
 from juniperward.forwarder.messages import (
     Abandon,
     Answered,
     Append,
+    Asked,
     Bar,
     Began,
     Call,
@@ -24,9 +27,11 @@
     CloseIdle,
     Decided,
     Delegate,
+    Doors,
     Effect,
     End,
     Ended,
+    EndProcess,
     Event,
     ForgetWorker,
     Handed,
@@ -47,6 +52,7 @@
     Stop,
     Taken,
     TakeOn,
+    Tell,
     TimeUp,
     TookOn,
     Wake,
@@ -70,6 +76,7 @@
     number: int
     call: Call
     expires: float
+    since: float  # when it came into this process
     attempts: int = 0
     out: int | None = None  # number of the delegation that carries it
 
@@ -99,6 +106,7 @@
     gone: set[int] = field(default_factory=set)  # workers that are, and not yet forgotten
     destinations: dict[int, float] = field(default_factory=dict)  # until when each is known
     version: int = 0
+    heard_at: float | None = None  # when the registry last told something
     epoch: int = 0  # how often the registry has moved
     watching: bool = False  # a watch is asked for, or under way
     last_worker: int = 0
@@ -106,6 +114,7 @@
     last_delegation: int = 0
     open_until: float = 0.0
     stop_at: float | None = None
+    draining: bool = False
 
 
 class Reducer:
@@ -175,6 +184,23 @@
             case Stop(open_until=open_until, until=until):
                 if self.state.stop_at is None:
                     self.state.open_until, self.state.stop_at = open_until, until
+            case Asked():
+                self._asked(now, event)
+
+    # --- the control channel --------------------------------------------------------------------------
+
+    def _asked(self, now: float, e: Asked) -> None:
+        """Look, or take an order; an order that changes nothing is no error: it may have been sent twice."""
+        s = self.state
+        verb = e.request.verb
+        if verb in (Verb.DRAIN, Verb.RESUME) and s.stop_at is None and s.draining != (verb is Verb.DRAIN):
+            s.draining = verb is Verb.DRAIN
+            count("drains" if s.draining else "resumes")
+            self.effects += [Doors(not s.draining), Say(f"control: {verb.value}")]
+        elif verb is Verb.STOP and s.stop_at is None:
+            self.effects.append(EndProcess())
+        body = telling.answer(verb, self.state, self.settings, self.sender, now)
+        self.effects.append(Tell(e.client, Answer(e.request.id, body)))
 
     # --- messages coming in ------------------------------------------------------------------------
 
@@ -191,12 +217,13 @@
             self.effects.append(Reply(e.client, 503, DOOR_WAIT))
             return
         left = e.at + e.call.time_left - now
-        if s.stop_at is not None or left <= 0 or len(s.held) + len(s.offered) >= self.settings.max_open:
-            count("overload_replies_stopping" if s.stop_at is not None else "overload_replies_full")
+        leaving = s.stop_at is not None or s.draining
+        if leaving or left <= 0 or len(s.held) + len(s.offered) >= self.settings.max_open:
+            count("overload_replies_stopping" if leaving else "overload_replies_full")
             self.effects.append(Reply(e.client, 503, DOOR_WAIT))
             return
         s.last_message += 1
-        held = Held(s.last_message, e.call, e.at + e.call.time_left)
+        held = Held(s.last_message, e.call, e.at + e.call.time_left, now)
         s.offered[held.number] = held
         s.numbers[e.call.id] = held.number
         self.effects.append(TakeOn(e.client, held.number, Taken(e.call, held.expires)))
@@ -226,7 +253,7 @@
             self._give_up(r.call.id, None)
             return
         s.last_message += 1
-        held = Held(s.last_message, r.call, r.expires, len(r.history))
+        held = Held(s.last_message, r.call, r.expires, now, len(r.history))
         s.held[held.number] = held
         s.numbers[r.call.id] = held.number
         history = tuple(
@@ -426,6 +453,8 @@
     def _heard(self, now: float, e: Heard) -> None:
         s = self.state
         s.version = e.version
+        if not e.known:
+            s.heard_at = now
         count("registry_news")
         entries = []
         named = set()
--- a/juniperward/forwarder/server.py
+++ b/juniperward/forwarder/server.py
@@ -74,6 +74,7 @@
         self.lock = threading.Lock()
         self.last = 0
         self.ready = self.stopping = False
+        self.leave = False  # answers end their connections: clients are to go elsewhere
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind(listen)
@@ -84,6 +85,10 @@
         self.ready = True
         threading.Thread(target=self._accept, name="listener", daemon=True).start()
 
+    def doors(self, is_open: bool) -> None:
+        """Have the ready page say yes or no; clients that come all the same are sent elsewhere."""
+        self.ready, self.leave = is_open, not is_open
+
     def stop(self) -> None:
         """Close kept connections once idle; new ones are still answered until `close`."""
         self.stopping = True
@@ -115,7 +120,8 @@
                 # It ended its sending: whether it still reads is unknown, so nothing is taken on for it.
                 status, retry_after = 503, BACK
                 count("clients_left")
-            told = self._write(client, encode_reply(status, retry_after, client.close or self.stopping))
+            client.close = client.close or self.leave or self.stopping
+            told = self._write(client, encode_reply(status, retry_after, client.close))
             client.answered.set()
         return told and not left
 
@@ -224,7 +230,7 @@
             self._hand_in(client, asked, at)
         else:
             client.sock.sendall(self._page(asked))
-        if asked.close or self.stopping:
+        if asked.close or client.close or self.stopping:
             self._linger(client)
             return False
         return True
--- a/juniperward/forwarder/start.py
+++ b/juniperward/forwarder/start.py
@@ -7,18 +7,23 @@
 import sys
 import threading
 import time
+from typing import TYPE_CHECKING
 
+from juniperward.control.protocol import ControlError
 from juniperward.forwarder.config import Config, ConfigError, load
 from juniperward.forwarder.counters import count, log, report, trouble
-from juniperward.forwarder.journal import Journal
+from juniperward.forwarder.journal import Journal, take_folder
 from juniperward.forwarder.loop import Loop
-from juniperward.forwarder.messages import Heard, Replayed, Stop
+from juniperward.forwarder.messages import Asked, Heard, Replayed, Stop
 from juniperward.forwarder.reducer import Reducer
 from juniperward.forwarder.registry import Registry
 from juniperward.forwarder.reload import Reloader
 from juniperward.forwarder.server import LEAVING, Server
 from juniperward.forwarder.workers import Workers
 
+if TYPE_CHECKING:
+    from juniperward.control.server import ControlServer
+
 STACK = 128 * 1024  # bytes for each thread; docs/architecture.md has the measurement
 SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP}
 STOP_WITHIN = 3.3  # seconds from SIGTERM to the end; SIGKILL follows after 3.7
@@ -27,9 +32,11 @@
 
 def build(config: Config) -> Loop:
     """Put the parts together; the journal is replayed and nothing runs yet."""
+    loop_started = time.time()
     journal = Journal(config.state, config.disk_bytes, time.time() - time.monotonic())
     reducer = Reducer(config.settings, config.seed)
     loop = Loop(reducer, journal)
+    loop.name, loop.started = config.name, loop_started
     slots = config.settings.slots
     loop.server = Server(config.listen, config.names, max(config.sockets // 2 - LEAVING, 16), loop.post)
     loop.workers = Workers(
@@ -43,9 +50,26 @@
     return loop
 
 
+def open_control(config: Config, loop: Loop) -> ControlServer | None:
+    """Open the control channel where the settings name its path; raises ControlError."""
+    if config.control is None:
+        return None
+    from juniperward.control.server import ControlServer  # not loaded where it is not used
+
+    control = ControlServer(
+        config.control, lambda client, request: loop.post(Asked(client, request)), count, trouble
+    )
+    loop.tell = control.tell
+    loop.end_process = lambda: os.kill(os.getpid(), signal.SIGTERM)
+    control.start()
+    log("start", f"the control channel is at {config.control}")
+    return control
+
+
 def run(config: Config) -> int:
     """Serve until a signal ends it."""
     threading.stack_size(STACK)
+    lock = take_folder(config.state)  # held until the process ends
     loop = build(config)
     done = threading.Event()
 
@@ -64,6 +88,7 @@
     loop.round([Replayed(restored)])
     thread = threading.Thread(target=work, name="loop")
     thread.start()
+    control = open_control(config, loop)
     loop.server.start()
     log("start", f"{config.name} serves on {config.listen[0]}:{config.listen[1]}, {len(restored)} restored")
     log("start", f"the registry is at {config.registry[0]}:{config.registry[1]}")
@@ -86,6 +111,9 @@
     loop.server.close()
     thread.join(began + STOP_WITHIN + 0.2 - time.monotonic())
     done.set()
+    if control is not None:
+        control.close()
+    os.close(lock)
     log("stop", "ended")
     report()
     sys.stderr.flush()
@@ -103,7 +131,7 @@
         return 2
     try:
         return run(config)
-    except OSError as error:
+    except (OSError, ControlError) as error:
         print(f"juniperward: cannot start: {error}", file=sys.stderr)
         return 1
 
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,290 @@
+"""The control channel: its frames, its bounds, and a real forwarder asked through it."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import signal
+import socket
+import stat
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import unittest
+from collections.abc import Callable
+from pathlib import Path
+from unittest import mock
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from juniperward.control import protocol, server
+from juniperward.control.client import ControlClient, Refused, Silent
+from juniperward.control.protocol import (
+    Answer,
+    ControlError,
+    Counters,
+    Destination,
+    ProtocolError,
+    Request,
+    Rows,
+    Verb,
+    decode_answer,
+    decode_request,
+    encode_answer,
+    encode_request,
+)
+from juniperward.control.server import ControlServer, open_socket
+from juniperward.forwarder.journal import FolderTaken, take_folder
+from tests.player import ROOT, WAIT, Line, Player, Program
+
+
+class FramesTest(unittest.TestCase):
+    def test_requests_and_answers_come_back_as_they_went(self) -> None:
+        for verb in Verb:
+            self.assertEqual(decode_request(encode_request(Request(7, verb))[4:]), Request(7, verb))
+        rows = Rows((Destination(3, "well", 1, 2, None, 5.0, 0.0, 1.5, None, 2),))
+        for verb, body in ((Verb.DESTINATIONS, rows), (Verb.COUNTERS, Counters({"delivered": 3}))):
+            answer = Answer(7, body)
+            self.assertEqual(decode_answer(encode_answer(answer)[4:], verb), answer)
+        self.assertEqual(
+            decode_answer(encode_answer(Answer(7, None, "no"))[4:], Verb.STATUS), Answer(7, None, "no")
+        )
+
+    def test_an_answer_names_the_place_of_what_is_wrong(self) -> None:
+        text = b'{"v":1,"id":1,"ok":true,"body":{"counters":{"a":"x"}}}'
+        with self.assertRaisesRegex(ProtocolError, r"body\.counters\.a: int is needed"):
+            decode_answer(text, Verb.COUNTERS)
+        with self.assertRaisesRegex(ProtocolError, "version 2"):
+            decode_request(b'{"v":2,"id":1,"verb":"status"}')
+
+    def test_unknown_fields_of_a_newer_forwarder_are_passed_over(self) -> None:
+        text = b'{"v":1,"id":1,"ok":true,"body":{"counters":{},"mood":1}}'
+        self.assertEqual(decode_answer(text, Verb.COUNTERS), Answer(1, Counters({})))
+
+    @settings(max_examples=300, derandomize=True, deadline=None)
+    @given(st.binary(max_size=300) | st.text(alphabet='{}[]":,v1idverbstatus ', max_size=200).map(str.encode))
+    def test_rubbish_is_told_as_such(self, text: bytes) -> None:
+        with contextlib.suppress(ProtocolError):
+            decode_request(text)
+
+    def test_nesting_is_bounded(self) -> None:
+        # Guards the thread's stack: the JSON decoder goes down in C with each bracket.
+        with self.assertRaises(ProtocolError):
+            decode_request(b"[" * 4000)
+
+
+class SocketTest(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.path = self.folder / "run" / "n0.sock"
+
+    def serve(self, ask: Callable[[ControlServer, int, Request], None]) -> ControlServer:
+        found: list[ControlServer] = []
+        mine = ControlServer(self.path, lambda c, r: ask(found[0], c, r), mock.Mock(), mock.Mock())
+        found.append(mine)
+        mine.start()
+        self.addCleanup(mine.close)
+        return mine
+
+    def test_folder_and_socket_are_for_this_user_only(self) -> None:
+        with open_socket(self.path):
+            self.assertEqual(stat.S_IMODE(self.path.stat().st_mode), 0o600)
+            self.assertEqual(stat.S_IMODE(self.path.parent.stat().st_mode), 0o700)
+            with self.assertRaisesRegex(ControlError, "another process listens"):
+                open_socket(self.path)
+        open_socket(self.path).close()  # what a killed process left is taken away
+        os.chmod(self.path.parent, 0o755)
+        with self.assertRaisesRegex(ControlError, "mode 0700"):
+            open_socket(self.path)
+        with self.assertRaisesRegex(ControlError, "107 bytes"):
+            open_socket(self.folder / ("x" * 120))
+        (self.folder / "plain").write_text("")
+        os.chmod(self.folder, 0o700)
+        with self.assertRaisesRegex(ControlError, "something else"):
+            open_socket(self.folder / "plain")
+
+    def test_a_client_that_hears_nothing_gives_up_in_its_time(self) -> None:
+        self.serve(lambda mine, client, request: None)
+        began = time.monotonic()
+        with self.assertRaisesRegex(Silent, "no answer within 0.2 s"):
+            ControlClient(self.path, 0.2).status()
+        self.assertLess(time.monotonic() - began, 1.5)
+        with self.assertRaisesRegex(Silent, "nobody listens"):
+            ControlClient(self.folder / "none", 0.2).status()
+
+    def test_an_answer_to_an_earlier_request_is_not_taken_for_this_ones(self) -> None:
+        self.serve(lambda mine, client, request: mine.tell(client, Answer(request.id - 1, Counters({}))))
+        with self.assertRaises(Silent):
+            ControlClient(self.path, 0.2).counters()
+
+    def test_a_full_table_lets_the_one_idle_longest_go(self) -> None:
+        mine = self.serve(lambda me, client, request: me.tell(client, Answer(request.id, Counters({}))))
+        silent = []
+        for _ in range(server.MOST_CLIENTS):
+            silent.append(socket.socket(socket.AF_UNIX, socket.SOCK_STREAM))
+            silent[-1].connect(str(self.path))
+        with self.assertRaises(Silent):  # it hears nothing before its turn to be admitted, then is served
+            ControlClient(self.folder / "none", 0.1).counters()
+        self.assertEqual(ControlClient(self.path, WAIT).counters(), {})
+        silent[0].settimeout(WAIT)
+        self.assertEqual(silent[0].recv(1), b"")
+        self.assertLessEqual(len(mine.clients), server.MOST_CLIENTS)
+        for sock in silent:
+            sock.close()
+
+    def test_a_flood_is_paced(self) -> None:
+        # Guards the loop: one client gets its burst, then PACE requests a second, however fast it asks.
+        asked: list[float] = []
+
+        def ask(mine: ControlServer, client: int, request: Request) -> None:
+            asked.append(time.monotonic())
+            mine.tell(client, Answer(request.id, Counters({})))
+
+        self.serve(ask)
+        client = ControlClient(self.path, WAIT)
+        with mock.patch.object(server, "BURST", 3.0), mock.patch.object(server, "PACE", 50.0):
+            for _ in range(8):
+                client.counters()
+        client.close()
+        self.assertEqual(len(asked), 8)
+        one = server.Client(1, mock.Mock())
+        one.tokens, one.tokens_at = 0.0, time.monotonic() + 60.0  # no time has passed for it
+        self.assertGreater(one.pause(), 0.0)
+
+    def test_rubbish_is_answered_and_ended(self) -> None:
+        self.serve(lambda mine, client, request: None)
+        for text in (b"GET / HTTP/1.1\r\n\r\n", b"\0\0\0\2{]", b"\0\0\0\0"):
+            with self.subTest(text), socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as sock:
+                sock.settimeout(WAIT)
+                sock.connect(str(self.path))
+                sock.sendall(text)
+                answer = decode_answer(
+                    protocol.read_frame(Line(sock).take, protocol.MOST_ANSWER), Verb.STATUS
+                )
+                self.assertIsNone(answer.body)
+
+
+class FolderTest(unittest.TestCase):
+    def test_two_never_share_a_state_folder(self) -> None:
+        with tempfile.TemporaryDirectory() as name:
+            file = take_folder(Path(name))
+            with self.assertRaises(FolderTaken):
+                take_folder(Path(name), 0.05)
+            os.close(file)
+            os.close(take_folder(Path(name)))
+
+
+class ForwarderTest(unittest.TestCase):
+    """A real forwarder with its channel open."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.program = Program(Path(folder.name))
+        self.addCleanup(self.program.close)
+        path = Path(folder.name) / "run" / "n0"
+        self.program.config["control"] = str(path)
+        self.program.start()
+        self.client = ControlClient(path, WAIT)
+        self.addCleanup(self.client.close)
+        self.player = Player(self.program)
+        self.addCleanup(self.player.close)
+
+    def test_it_drains_tells_so_and_resumes(self) -> None:
+        status = self.client.status()
+        assert self.program.process is not None
+        self.assertEqual((status.name, status.pid), ("n0", self.program.process.pid))
+        self.assertEqual((status.phase, status.ready, status.slots), ("serving", True, 4))
+        self.assertEqual(status.registry_age, -1.0)
+        self.player.play("@ c client\n+ taken m1 7\n@ w worker\n+ received m1")
+        self.assertEqual((self.client.status().held, self.client.status().calls_out), (1, 1))
+        (row,) = [r for r in self.client.rows(Verb.DESTINATIONS).destinations if r.destination == 7]
+        self.assertEqual((row.in_flight, row.waiting, row.health), (1, 0, "unknown"))
+        self.assertEqual([w.in_flight for w in self.client.rows(Verb.WORKERS).workers], [1, 0])
+        self.assertEqual(self.client.order(Verb.DRAIN).phase, "draining")
+        # What is held goes on to its end; a new message and the ready page hear 503 at once.
+        self.player.play(
+            "@ c\n+ call m2 7 15\n+ overload\n< Connection: close\n<\n= end\n"
+            "@ p client\n> GET /health/ready HTTP/1.1\n>\n< HTTP/1.1 503 Service Unavailable\n"
+        )
+        self.assertEqual(self.client.order(Verb.DRAIN).phase, "draining")
+        self.player.play("@ w\n+ ok")
+        while (status := self.client.status()).phase == "draining":
+            pass
+        self.assertEqual((status.phase, status.delivered, status.owing), ("drained", 1, 0))
+        self.assertEqual(self.client.order(Verb.RESUME).phase, "serving")
+        self.player.play("@ d client\n+ taken m3 7\n@ w\n+ received m3\n+ ok")
+        self.assertEqual(self.client.counters()["drains"], 1)
+
+    def test_stop_is_a_planned_end(self) -> None:
+        self.client.order(Verb.STOP)
+        assert self.program.process is not None
+        self.assertEqual(self.program.process.wait(WAIT), 0)
+        self.assertFalse(self.client.path.exists())
+        with self.assertRaises(Silent):
+            self.client.status()
+
+    def test_a_second_one_on_the_same_folder_does_not_start(self) -> None:
+        environment = {**os.environ, "ROUTER_CONFIG": str(self.program.folder / "config.json"),
+                       "ROUTER_STATE": str(self.program.state)}  # fmt: skip
+        second = subprocess.run(
+            [sys.executable, "-m", "juniperward"],
+            cwd=ROOT, env=environment, capture_output=True, timeout=WAIT,
+        )  # fmt: skip
+        self.assertEqual(second.returncode, 1)
+        self.assertIn(b"another forwarder works in this folder", second.stderr)
+
+    def test_a_stopped_process_is_silent_and_comes_back(self) -> None:
+        process = self.program.process
+        assert process is not None
+        self.client.status()
+        process.send_signal(signal.SIGSTOP)
+        try:
+            with self.assertRaises(Silent):
+                ControlClient(self.client.path, 0.2).status()
+        finally:
+            process.send_signal(signal.SIGCONT)
+        self.assertEqual(self.client.status().phase, "serving")
+
+    def test_stalled_and_flooding_clients_leave_the_loop_alone(self) -> None:
+        # Guards the loop's own time: 7 clients flood and one never reads; an honest message still passes.
+        stop = threading.Event()
+
+        def flood() -> None:
+            while not stop.is_set():
+                try:
+                    with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as sock:
+                        sock.settimeout(0.5)
+                        sock.connect(str(self.client.path))
+                        sock.sendall(encode_request(Request(1, Verb.DESTINATIONS)) * 50)
+                        sock.recv(100)
+                except OSError:
+                    pass
+
+        threads = [threading.Thread(target=flood) for _ in range(7)]
+        for thread in threads:
+            thread.start()
+        try:
+            self.player.play("@ c client\n+ taken m1 7\n@ w worker\n+ received m1\n+ ok")
+            self.player.play("@ c\n+ taken m2 7\n@ w\n+ received m2\n+ ok")
+        finally:
+            stop.set()
+            for thread in threads:
+                thread.join()
+
+
+class RefusedTest(unittest.TestCase):
+    def test_a_refusal_is_told_with_its_text(self) -> None:
+        with tempfile.TemporaryDirectory() as name:
+            path = Path(name) / "run" / "s"
+            say = mock.Mock()
+            mine = ControlServer(path, lambda c, r: mine.tell(c, Answer(r.id, None, "no")), say, say)
+            mine.start()
+            with self.assertRaisesRegex(Refused, "no"):
+                ControlClient(path, WAIT).status()
+            mine.close()
