Decide what an instance is, when it restarts and how a roll goes, as pure values

Need: an agent must survive its own death amid a roll and must not trust a ready page. The fleet package holds the observed states, restarts with backoff, jitter and crash loops, and rolls as values that can be written down: drain, stop, start, soak, judged by what an instance delivers, pausing by itself where the floor, an instance or the service fails.

--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,376 @@
+"""Decisions about a fleet, against a small model of one: no process, no socket, no waiting."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from juniperward.fleet.decisions import after_exit, kill_due, phase, start_due
+from juniperward.fleet.model import (
+    Crashes,
+    Instance,
+    Patience,
+    Phase,
+    Process,
+    Reading,
+    RestartRules,
+    RollRules,
+    Wanted,
+)
+from juniperward.fleet.roll import (
+    Do,
+    Impossible,
+    Mode,
+    Order,
+    Roll,
+    Stage,
+    end,
+    leave_out,
+    plan,
+    resume,
+    step,
+    undo,
+)
+from juniperward.fleet.service import Meter, Tally
+
+PATIENCE = Patience()
+BLANK = Reading(
+    at=0.0, pid=1, phase="serving", ready=True, heard=True, owing=0, held=0, slots=4, calls_out=0,
+    delivered=0, calls_failed=0, given_up=0, taken_on=0, turned_away=0, restored=0, broken=0, oldest_held=0.0,
+    journal_bytes=0, registry_age=1.0, sick=0,
+)  # fmt: skip
+
+
+class Model:
+    """A fleet that does what it is told, with faults to be switched on by name."""
+
+    def __init__(self, count: int, edition: str = "a") -> None:
+        self.now, self.pid = 1000.0, 100
+        self.fleet: dict[str, Instance] = {}
+        self.meter = Meter()
+        self.dead_at_start: set[str] = set()  # instances that end at once, with edition "b"
+        self.mute: set[str] = set()  # stopped by SIGSTOP
+        self.barren: set[str] = set()  # ready, and every call fails, with edition "b"
+        self.stubborn: set[str] = set()  # ignore SIGTERM
+        self.leaky: set[str] = set()  # never drained
+        self.least = count  # fewest ready instances seen
+        self.orders: list[Order] = []
+        for n in range(count):
+            self.fleet[f"n{n}"] = Instance(f"n{n}", Wanted.RUNNING)
+            self.start(f"n{n}", edition)
+        for _ in range(30):
+            self.tick()
+
+    def start(self, name: str, edition: str) -> None:
+        self.pid += 1
+        i = self.fleet[name]
+        self.fleet[name] = replace(
+            i, process=Process(self.pid, self.pid), started_at=self.now, edition=edition, reading=None,
+            unanswered_since=None, was_ready=False, drain=False, stopping_since=None, killed=False,
+            crashes=replace(i.crashes, restart_at=None),
+        )  # fmt: skip
+
+    def tick(self, seconds: float = 0.25) -> None:
+        self.now += seconds
+        for name, i in list(self.fleet.items()):
+            if i.process is None:
+                if start_due(i, self.now) and i.crashes.restart_at is not None:
+                    self.start(name, i.edition)
+                continue
+            if name in self.dead_at_start and i.edition == "b":
+                self.fleet[name] = after_exit(i, self.now, "exit 1", RestartRules(), 0.5)
+                continue
+            mute = name in self.mute
+            if i.stopping_since is not None and not mute and name not in self.stubborn:
+                self.fleet[name] = after_exit(i, self.now, "exit 0", RestartRules(), 0.5)
+                continue
+            if kill_due(i, self.now, PATIENCE):
+                self.mute.discard(name)
+                self.fleet[name] = after_exit(i, self.now, "signal 9", RestartRules(), 0.5)
+                continue
+            if mute:
+                since = i.unanswered_since if i.unanswered_since is not None else self.now
+                self.fleet[name] = replace(i, unanswered_since=since)
+                continue
+            bad = name in self.barren and i.edition == "b"
+            r = i.reading or replace(BLANK, pid=i.process.pid)
+            r = replace(
+                r, at=self.now, delivered=r.delivered + (0 if bad else 5),
+                calls_failed=r.calls_failed + (5 if bad else 0),
+                phase="serving" if not i.drain else "draining" if name in self.leaky else "drained",
+                ready=not i.drain,
+            )  # fmt: skip
+            self.fleet[name] = replace(i, reading=r, unanswered_since=None, was_ready=i.was_ready or r.ready)
+        readings = {n: i.reading for n, i in self.fleet.items() if i.reading is not None}
+        self.meter = self.meter.read(self.now, readings, 30.0)
+
+    def obey(self, orders: list[Order]) -> None:
+        self.orders += orders
+        for o in orders:
+            i = self.fleet[o.name]
+            if o.do is Do.START and i.process is None:
+                self.start(o.name, o.edition)
+            elif o.do in (Do.DRAIN, Do.RESUME):
+                self.fleet[o.name] = replace(i, drain=o.do is Do.DRAIN)
+            elif o.do in (Do.STOP, Do.KILL) and i.process is not None and i.stopping_since is None:
+                self.fleet[o.name] = replace(i, stopping_since=self.now)
+
+    def up(self) -> int:
+        return sum(phase(i, self.now, PATIENCE) is Phase.READY for i in self.fleet.values())
+
+    def plan(self, target: str = "b", **rules: float) -> Roll:
+        made = RollRules(**{"floor": len(self.fleet) - 1, "soak": 1.0, **rules})  # type: ignore[arg-type]
+        return plan("r1", target, list(self.fleet), self.fleet, made, self.meter, self.now, PATIENCE)
+
+    def run(self, roll: Roll, seconds: float = 300.0, until: Mode | None = None) -> Roll:
+        end_at = self.now + seconds
+        while self.now < end_at and not roll.over and roll.mode is not until:
+            roll, orders = step(roll, self.fleet, self.meter, self.now, PATIENCE)
+            self.obey(orders)
+            self.least = min(self.least, self.up())
+            self.tick()
+        return roll
+
+
+class StatesTest(unittest.TestCase):
+    def test_each_state_is_told_from_its_facts(self) -> None:
+        now, alive = 100.0, Process(1, 1)
+        base = Instance("a", Wanted.RUNNING, alive, started_at=90.0, reading=BLANK, was_ready=True)
+        cases = [
+            (Instance("a"), Phase.STOPPED),
+            (Instance("a", crashes=Crashes(failed="x")), Phase.FAILED),
+            (replace(base, reading=None, was_ready=False), Phase.STARTING),
+            (base, Phase.READY),
+            (replace(base, reading=replace(BLANK, heard=False)), Phase.STARTING),
+            (replace(base, reading=replace(BLANK, phase="draining", ready=False)), Phase.DRAINING),
+            (replace(base, reading=replace(BLANK, phase="drained", ready=False)), Phase.DRAINED),
+            (replace(base, reading=replace(BLANK, phase="stopping", ready=False)), Phase.STOPPING),
+            (replace(base, stopping_since=99.0, unanswered_since=1.0), Phase.STOPPING),
+            (replace(base, unanswered_since=97.0), Phase.SILENT),
+            (replace(base, unanswered_since=99.0), Phase.READY),
+            (replace(base, unanswered_since=91.0, was_ready=False, reading=None), Phase.STARTING),
+            (replace(base, unanswered_since=81.0, started_at=80.0, was_ready=False), Phase.SILENT),
+        ]
+        for i, expected in cases:
+            with self.subTest(expected=expected, i=i):
+                self.assertEqual(phase(i, now, PATIENCE), expected)
+
+
+class RestartsTest(unittest.TestCase):
+    def test_waits_double_and_a_crash_loop_fails(self) -> None:
+        rules = RestartRules(first=0.5, crashes=5, span=60.0)
+        i, now, waits = Instance("a", Wanted.RUNNING, Process(1, 1)), 0.0, []
+        for _ in range(4):
+            i = after_exit(i, now, "exit 1", rules, 0.5)
+            assert i.crashes.restart_at is not None
+            waits.append(i.crashes.restart_at - now)
+            self.assertFalse(start_due(i, now))
+            now = i.crashes.restart_at
+            self.assertTrue(start_due(i, now))
+            i = replace(i, process=Process(1, 1), started_at=now)
+        self.assertEqual(waits, [0.5, 1.0, 2.0, 4.0])
+        i = after_exit(i, now, "exit 1", rules, 0.5)
+        self.assertEqual(phase(i, now, PATIENCE), Phase.FAILED)
+        self.assertIn("5 crashes within 60 s, the last: exit 1", i.crashes.failed)
+        self.assertFalse(start_due(i, now + 1e6))
+
+    def test_one_that_ran_steadily_begins_anew(self) -> None:
+        i = Instance("a", Wanted.RUNNING, Process(1, 1), was_ready=True, crashes=Crashes((), 6))
+        i = after_exit(i, 100.0, "exit 1", RestartRules(), 0.5)
+        self.assertEqual((i.crashes.in_row, i.crashes.restart_at), (1, 100.5))
+
+    def test_an_end_that_was_asked_for_is_no_crash(self) -> None:
+        i = Instance("a", Wanted.STOPPED, Process(1, 1), stopping_since=1.0, drain=True)
+        self.assertEqual(after_exit(i, 2.0, "exit 0", RestartRules(), 0.5), Instance("a", exit="exit 0"))
+
+    @settings(derandomize=True, max_examples=200)
+    @given(st.integers(0, 60), st.floats(0, 1))
+    def test_no_wait_leaves_its_bounds(self, in_row: int, chance: float) -> None:
+        rules = RestartRules()
+        i = Instance("a", Wanted.RUNNING, Process(1, 1), crashes=Crashes((), in_row))
+        at = after_exit(i, 50.0, "x", rules, chance).crashes.restart_at
+        assert at is not None
+        self.assertTrue(rules.first * (1 - rules.jitter) <= at - 50.0 <= rules.most * (1 + rules.jitter))
+
+
+class RollTest(unittest.TestCase):
+    def test_all_are_restarted_and_the_floor_is_held(self) -> None:
+        model = Model(5)
+        roll = model.run(model.plan())
+        self.assertEqual((roll.mode, model.least), (Mode.DONE, 4))
+        self.assertEqual({i.edition for i in model.fleet.values()}, {"b"})
+        self.assertEqual([s.stage for s in roll.steps], [Stage.DONE] * 5)
+        for name in model.fleet:  # drained, then stopped, then started
+            done = [o.do for o in model.orders if o.name == name]
+            self.assertEqual(list(dict.fromkeys(done)), [Do.DRAIN, Do.STOP, Do.START])
+
+    def test_batches_go_together(self) -> None:
+        model = Model(6)
+        began = model.now
+        roll = model.run(model.plan(at_once=3, floor=3))
+        self.assertEqual((roll.mode, model.least), (Mode.DONE, 3))
+        one = Model(6)
+        start = one.now
+        one.run(one.plan())
+        self.assertLess(model.now - began, 0.5 * (one.now - start))
+
+    def test_a_floor_that_cannot_be_held_is_no_plan(self) -> None:
+        model = Model(3)
+        for rule, value in (("floor", 3), ("at_once", 0)):
+            with self.subTest(rule), self.assertRaises(Impossible):
+                model.plan("b", **{rule: value})
+        with self.assertRaisesRegex(Impossible, "no such instance: n9"):
+            plan("r", "b", ["n9"], model.fleet, RollRules(), model.meter, model.now, PATIENCE)
+
+    def test_a_silent_one_goes_first_and_ends_by_sigkill(self) -> None:
+        model = Model(4)
+        model.mute.add("n2")
+        for _ in range(12):
+            model.tick()
+        roll = model.plan()
+        self.assertEqual(roll.steps[0].name, "n2")
+        roll = model.run(roll)
+        self.assertEqual((roll.mode, model.least), (Mode.DONE, 3))
+        self.assertEqual(model.fleet["n2"].edition, "b")
+
+    def test_one_that_falls_silent_while_draining_is_stopped_after_its_time(self) -> None:
+        model = Model(3)
+        roll = model.run(model.plan(), 0.2)
+        model.mute.add("n0")
+        roll = model.run(roll)
+        self.assertEqual(roll.mode, Mode.DONE)
+        self.assertEqual({i.edition for i in model.fleet.values()}, {"b"})
+
+    def test_one_that_never_drains_is_stopped_after_its_time(self) -> None:
+        model = Model(2)
+        model.leaky.add("n0")
+        began = model.now
+        roll = model.run(model.plan(drain=4.0))
+        self.assertEqual(roll.mode, Mode.DONE)
+        self.assertGreater(model.now - began, 4.0)
+
+    def test_one_that_ignores_sigterm_is_killed(self) -> None:
+        model = Model(2)
+        model.stubborn.add("n1")
+        self.assertEqual(model.run(model.plan()).mode, Mode.DONE)
+
+    def test_one_that_dies_at_its_start_pauses_the_roll_and_undo_mends_it(self) -> None:
+        model = Model(4)
+        model.dead_at_start.add("n1")
+        roll = model.run(model.plan(), until=Mode.PAUSED)
+        self.assertIn("n1 does not come up: it ended at its start: exit 1", roll.why)
+        self.assertEqual([model.fleet[n].edition for n in ("n0", "n2", "n3")], ["b", "a", "a"])
+        paused = model.run(roll, 20.0)
+        self.assertEqual((paused.mode, model.fleet["n2"].edition), (Mode.PAUSED, "a"))
+        roll, orders = undo(paused)
+        model.obey(orders)
+        roll = model.run(roll)
+        self.assertEqual(roll.mode, Mode.UNDONE)
+        self.assertEqual({i.edition for i in model.fleet.values()}, {"a"})
+        self.assertEqual(model.up(), 4)
+
+    def test_one_that_is_ready_but_delivers_nothing_pauses_the_roll(self) -> None:
+        model = Model(4)
+        model.barren.add("n0")
+        roll = model.run(model.plan(), until=Mode.PAUSED)
+        self.assertIn("n0 is ready but 0 of ", roll.why)
+        self.assertEqual({model.fleet[n].edition for n in ("n1", "n2", "n3")}, {"a"})
+
+    def test_falling_service_pauses_the_roll(self) -> None:
+        # All others are well by their own counts; what falls is the whole.
+        model = Model(4)
+        roll = model.run(model.plan(), 0.5)
+        for name in ("n1", "n2", "n3"):
+            model.fleet[name] = replace(model.fleet[name], edition="b")
+            model.barren.add(name)
+        roll = model.run(roll, until=Mode.PAUSED)
+        self.assertIn("service fell", roll.why)
+
+    def test_a_loss_elsewhere_that_breaks_the_floor_pauses_and_a_resume_goes_on(self) -> None:
+        model = Model(4)
+        roll = model.run(model.plan(patience=5.0), 0.2)
+        model.mute.add("n3")
+        roll = model.run(roll, until=Mode.PAUSED)
+        self.assertIn("the floor is 3", roll.why)
+        model.mute.clear()
+        for _ in range(4):
+            model.tick()
+        self.assertEqual(model.run(resume(roll)).mode, Mode.DONE)
+        with self.assertRaises(Impossible):
+            resume(roll if roll.over else replace(roll, mode=Mode.DONE))
+
+    def test_one_stopped_by_order_is_left_out(self) -> None:
+        model = Model(3)
+        roll = model.run(model.plan(floor=0), 0.2)
+        for name in ("n0", "n2"):
+            model.fleet[name] = replace(model.fleet[name], wanted=Wanted.STOPPED, stopping_since=model.now)
+        roll = leave_out(roll, "n2", "stopped by order")
+        roll = model.run(roll)
+        stages = {s.name: s.stage for s in roll.steps}
+        self.assertEqual(stages, {"n0": Stage.LEFT_OUT, "n1": Stage.DONE, "n2": Stage.LEFT_OUT})
+        self.assertIsNone(model.fleet["n0"].process)
+        self.assertEqual(roll.mode, Mode.DONE)
+
+    def test_an_end_by_order_leaves_nothing_drained(self) -> None:
+        model = Model(3)
+        model.leaky.add("n0")
+        roll = model.run(model.plan(), 0.2)
+        roll, orders = end(roll)
+        self.assertEqual((orders, roll.mode), ([Order(Do.RESUME, "n0")], Mode.ENDED))
+
+    def test_a_roll_by_sigkill_goes_without_drain(self) -> None:
+        model = Model(3)
+        roll = model.run(model.plan(kill=True))
+        self.assertEqual(roll.mode, Mode.DONE)
+        self.assertNotIn(Do.DRAIN, {o.do for o in model.orders})
+
+    def test_orders_may_be_lost_or_doubled_at_every_step(self) -> None:
+        # An agent that is killed has written its roll down and has carried out any part of its orders. Each
+        # step of a whole roll is taken as the place of that death, with none, half or all of them done twice.
+        places = 0
+        cut = 0
+        while True:
+            model = Model(3)
+            roll, steps, fired = model.plan(), 0, False
+            while not roll.over and steps < 2000:
+                roll, orders = step(roll, model.fleet, model.meter, model.now, PATIENCE)
+                if orders:
+                    if steps == cut // 3 and not fired:
+                        fired = True
+                        roll = msgspec.json.decode(msgspec.json.encode(roll), type=Roll)
+                        orders = [[], orders[: len(orders) // 2], orders * 2][cut % 3]
+                    steps += 1
+                model.obey(orders)
+                model.least = min(model.least, model.up())
+                model.tick()
+            self.assertEqual((roll.mode, model.least), (Mode.DONE, 2), cut)
+            self.assertEqual({i.edition for i in model.fleet.values()}, {"b"}, cut)
+            if not fired:
+                break
+            places, cut = places + 1, cut + 1
+        self.assertGreaterEqual(places, 3 * 9)  # three instances, three orders each
+
+    @settings(derandomize=True, max_examples=60, deadline=None)
+    @given(st.integers(2, 7), st.integers(1, 3), st.data())
+    def test_no_roll_goes_below_its_floor(self, count: int, at_once: int, data: st.DataObject) -> None:
+        model = Model(count)
+        floor = data.draw(st.integers(0, count - 1))
+        for faults in (model.stubborn, model.leaky, model.barren, model.dead_at_start):
+            faults.update(data.draw(st.sets(st.sampled_from(sorted(model.fleet)), max_size=2)))
+        roll = model.run(model.plan(at_once=at_once, floor=floor, drain=2.0), 200.0, Mode.PAUSED)
+        self.assertGreaterEqual(model.least, min(floor, count - at_once))
+        self.assertIn(roll.mode, (Mode.DONE, Mode.PAUSED))
+
+
+class MeterTest(unittest.TestCase):
+    def test_counts_survive_restarts(self) -> None:
+        meter = Meter()
+        for now, pid, delivered in ((0.0, 1, 100), (1.0, 1, 110), (2.0, 2, 4), (3.0, 2, 8)):
+            meter = meter.read(now, {"a": replace(BLANK, pid=pid, delivered=delivered)}, 30.0)
+        self.assertEqual(meter.total, Tally(118, 0))
+        self.assertEqual(meter.lately(3.0, 1.0), Tally(4, 0))
+        self.assertIsNone(Tally().share)
