Add an agent, its command-line tool, stand-ins and a checker, and a demo of all of them

Need: a forwarder that restarts must be seen and steered without logging in, and nobody could try the program. The agent keeps forwarders running that outlast it, watches their control channels and carries out rolls whose every step is on disk before its orders are given. The tool asks several agents at once, each call with a time limit. Settings are protobuf text format with checks that name line and field.

--- /dev/null
+++ b/juniperward/agent/messages.py
@@ -0,0 +1,216 @@
+"""Typed values of the agent: its state, events, effects, and what it tells its clients."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from pyrsistent import PMap, pmap
+
+from juniperward.fleet.model import Instance, Patience, Process, Reading, RestartRules, RollRules
+from juniperward.fleet.roll import Order, Roll
+from juniperward.fleet.service import Meter
+
+
+@dataclass(frozen=True, slots=True)
+class Durable:
+    """What outlasts the agent; written down as one value."""
+
+    instances: tuple[Instance, ...] = ()
+    roll: Roll | None = None
+    rolls: int = 0  # made so far
+    edition: str = ""  # the newest
+
+    def stripped(self) -> Durable:
+        """Without what is only of the moment: it is learned again."""
+        return Durable(tuple(strip(i) for i in self.instances), self.roll, self.rolls, self.edition)
+
+
+def strip(i: Instance) -> Instance:
+    """What of an instance is worth writing down."""
+    return Instance(
+        i.name, i.wanted, i.process, i.started_at if i.process else 0.0, i.edition,
+        was_ready=i.was_ready, drain=i.drain, exit=i.exit, crashes=i.crashes,
+    )  # fmt: skip
+
+
+@dataclass(frozen=True, slots=True)
+class Rules:
+    """What the settings say of decisions."""
+
+    restart: RestartRules = RestartRules()
+    patience: Patience = Patience()
+    roll: RollRules = RollRules()
+
+
+@dataclass(frozen=True, slots=True)
+class State:
+    """All that the agent knows; a value: an earlier one stays as it was."""
+
+    instances: PMap[str, Instance] = field(default_factory=pmap)
+    rules: Rules = Rules()
+    meter: Meter = field(default_factory=Meter)
+    roll: Roll | None = None
+    rolls: int = 0
+    edition: str = ""
+    saved: Durable | None = None  # as it was last written down
+    before: Roll | None = None  # the roll before the step that is being written down
+    pending: tuple[Order, ...] = ()  # orders of that step: they wait for it to be written
+    replies: tuple[int, ...] = ()  # clients that wait for it too
+    writing: bool = False  # such a step is being written down
+    save_again_at: float = 0.0  # after a failure
+    leaving: frozenset[str] = frozenset()  # taken out of the settings; forgotten once ended
+
+    def durable(self) -> Durable:
+        return Durable(
+            tuple(strip(self.instances[n]) for n in sorted(self.instances)), self.roll, self.rolls, self.edition
+        )
+
+
+# --- events ------------------------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class Ticked:
+    """Time has passed."""
+
+
+@dataclass(frozen=True, slots=True)
+class Configured:
+    """The settings were read: at the start, or again."""
+
+    names: tuple[str, ...]
+    stopped: frozenset[str]
+    edition: str
+    rules: Rules
+    asked_by: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Found:
+    """A process of an earlier agent runs still."""
+
+    name: str
+    process: Process
+    started_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """An instance has told its state."""
+
+    name: str
+    reading: Reading
+
+
+@dataclass(frozen=True, slots=True)
+class Unanswered:
+    """An instance was asked and did not answer; `since` is when it was first asked in vain."""
+
+    name: str
+    process: Process
+    since: float
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class Exited:
+    """A process has ended."""
+
+    name: str
+    process: Process
+    how: str
+
+
+@dataclass(frozen=True, slots=True)
+class Spawned:
+    """What became of a `Spawn`: a process, or why there is none."""
+
+    name: str
+    edition: str
+    process: Process | None
+    why: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Saved:
+    """What became of a `Save`; `error` is empty where it is written."""
+
+    durable: Durable
+    error: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """A client gives an order; `verb` is one of the agent's API."""
+
+    client: int
+    verb: str
+    names: tuple[str, ...] = ()
+    options: dict[str, Any] = field(default_factory=dict)
+
+
+Event = Ticked | Configured | Found | Answered | Unanswered | Exited | Spawned | Saved | Asked
+
+# --- effects -----------------------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class Save:
+    """Write the state down; `Saved` reports back at once."""
+
+    durable: Durable
+
+
+@dataclass(frozen=True, slots=True)
+class Spawn:
+    """Start an instance's process; `Spawned` reports back at once."""
+
+    name: str
+    edition: str
+
+
+@dataclass(frozen=True, slots=True)
+class Signal:
+    """Send a signal to a process, if it is still the same."""
+
+    name: str
+    process: Process
+    signal: int
+
+
+@dataclass(frozen=True, slots=True)
+class Tell:
+    """Give an order on an instance's control channel: drain or resume."""
+
+    name: str
+    verb: str
+
+
+@dataclass(frozen=True, slots=True)
+class Watch:
+    """Ask this process for its state from now on."""
+
+    name: str
+    process: Process | None
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Answer a client."""
+
+    client: int
+    status: int
+    body: dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class Note:
+    """A line for the log and the events."""
+
+    event: str
+    fields: dict[str, Any]
+    level: str = "info"
+
+
+Effect = Save | Spawn | Signal | Tell | Watch | Reply | Note
--- /dev/null
+++ b/juniperward/agent/processes.py
@@ -0,0 +1,183 @@
+"""Processes of forwarders: starting them so that they outlast the agent, telling them apart, their logs.
+
+A process is known by its pid and its start time: a pid comes again, both together do not. An instance's process
+carries the mark `JUNIPERWARD_INSTANCE` in its environment, by which an agent that was killed between starting it
+and writing that down finds it again.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import secrets
+import shutil
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+from juniperward.fleet.model import Process
+
+MARK = "JUNIPERWARD_INSTANCE"
+TICKS = os.sysconf("SC_CLK_TCK")
+
+
+def boot_id() -> str:
+    """Names this boot of the machine: monotonic times and start times mean nothing across boots."""
+    return Path("/proc/sys/kernel/random/boot_id").read_text().strip()
+
+
+def _stat(pid: int) -> tuple[str, int] | None:
+    """The state letter and the start time of a process, or None where there is none."""
+    try:
+        text = Path(f"/proc/{pid}/stat").read_text()
+    except (OSError, UnicodeDecodeError):
+        return None
+    parts = text.rpartition(")")[2].split()  # the name before may hold anything
+    return parts[0], int(parts[19])
+
+
+def identify(pid: int) -> Process | None:
+    """The process with this pid now."""
+    found = _stat(pid)
+    return Process(pid, found[1]) if found is not None and found[0] not in "ZX" else None
+
+
+def alive(process: Process) -> bool:
+    """Whether exactly this process still runs; one that waits to be reaped does not."""
+    return identify(process.pid) == process
+
+
+def started_at(process: Process) -> float:
+    """When it started, on the monotonic clock of this agent."""
+    since_boot = time.clock_gettime(time.CLOCK_BOOTTIME) - process.start / TICKS
+    return time.monotonic() - max(since_boot, 0.0)
+
+
+def reap(process: Process) -> str | None:
+    """How it ended, or None while it runs; `gone` where it is no child of ours."""
+    try:
+        pid, status = os.waitpid(process.pid, os.WNOHANG)
+        if pid == process.pid:
+            code = os.waitstatus_to_exitcode(status)
+            return f"exit {code}" if code >= 0 else f"signal {-code}"
+    except ChildProcessError:
+        pass
+    return None if alive(process) else "gone"
+
+
+def send(process: Process, number: int) -> bool:
+    """Signal exactly this process; whether it was there. No other process can be hit, whatever its pid."""
+    try:
+        handle = os.pidfd_open(process.pid)
+    except OSError:
+        return False
+    try:
+        if not alive(process):
+            return False
+        signal.pidfd_send_signal(handle, number)
+        return True
+    except OSError:
+        return False
+    finally:
+        os.close(handle)
+
+
+def find(mark: str) -> dict[str, Process]:
+    """Running processes of this user whose mark begins so, by the rest of the mark."""
+    found = {}
+    start = f"{MARK}={mark}:".encode()
+    for entry in os.scandir("/proc"):
+        if not entry.name.isdigit():
+            continue
+        try:
+            environment = Path(f"/proc/{entry.name}/environ").read_bytes().split(b"\0")
+        except OSError:
+            continue
+        for word in environment:
+            if word.startswith(start):
+                process = identify(int(entry.name))
+                if process is not None:
+                    found[word[len(start) :].decode(errors="replace")] = process
+    return found
+
+
+class Launcher:
+    """Starts instances; their configuration and their log are files of the agent's folder."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.mark = str(folder)
+        self.children: dict[int, subprocess.Popen[bytes]] = {}
+
+    def log_file(self, name: str) -> Path:
+        return self.folder / "logs" / f"{name}.log"
+
+    def start(self, name: str, config: dict[str, Any]) -> Process:
+        """Start one; raises OSError or ValueError."""
+        run = self.folder / "run"
+        for path in (run, self.folder / "logs"):
+            path.mkdir(mode=0o700, parents=True, exist_ok=True)
+        Path(config["state"]).mkdir(mode=0o700, parents=True, exist_ok=True)
+        told = {**config, "seed": secrets.token_hex(8)}
+        file = run / f"{name}.json"
+        fresh = run / f"{name}.json.new"
+        fresh.write_text(json.dumps(told))
+        os.replace(fresh, file)
+        environment = {k: v for k, v in os.environ.items() if not k.startswith("ROUTER_")}
+        environment |= {"ROUTER_CONFIG": str(file), MARK: f"{self.mark}:{name}"}
+        with open(self.log_file(name), "ab") as log:
+            child = subprocess.Popen(
+                [sys.executable, "-O", "-m", "juniperward"],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,  # a file, not a pipe of ours: it must outlast the agent
+                env=environment,
+                start_new_session=True,
+                cwd=Path(__file__).parent.parent.parent,
+            )
+        child.returncode = 0  # `reap` waits for it; Popen must not
+        process = identify(child.pid)
+        if process is None:
+            raise OSError(f"{name}: its process is gone at once")
+        return process
+
+    def rotate(self, name: str, most: int, keep: int) -> bool:
+        """Move a log that has grown too large aside; whether it was.
+
+        The writer keeps its open file, which is cut to nothing after it is copied; as it appends, it goes on
+        at the new end. Lines written between the copy and the cut are lost: a few microseconds' worth.
+        """
+        file = self.log_file(name)
+        try:
+            if file.stat().st_size <= most:
+                return False
+            for n in range(keep, 1, -1):
+                with contextlib.suppress(FileNotFoundError):
+                    os.replace(f"{file}.{n - 1}", f"{file}.{n}")
+            if keep:
+                shutil.copyfile(file, f"{file}.1")
+            os.truncate(file, 0)
+        except FileNotFoundError:
+            return False
+        return True
+
+    def tail(self, name: str, lines: int) -> list[str]:
+        """The last lines of an instance's log."""
+        try:
+            with open(self.log_file(name), "rb") as file:
+                file.seek(0, os.SEEK_END)
+                file.seek(max(0, file.tell() - 400 * lines))
+                found = file.read().decode(errors="replace").splitlines()
+        except FileNotFoundError:
+            return []
+        return found[-lines:]
+
+
+def usage(pid: int) -> tuple[float, int]:
+    """CPU seconds and resident bytes of a process."""
+    parts = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(parts[11]) + int(parts[12])) / TICKS, int(parts[21]) * os.sysconf("SC_PAGE_SIZE")
--- /dev/null
+++ b/juniperward/agent/store.py
@@ -0,0 +1,89 @@
+"""The agent's state on disk: two generations of one checked file, so that a torn one loses nothing older."""
+
+from __future__ import annotations
+
+import os
+import zlib
+from dataclasses import replace
+from pathlib import Path
+
+import msgspec
+
+from juniperward.agent.messages import Durable
+from juniperward.agent.processes import boot_id
+
+VERSION = 1
+
+
+class Damaged(Exception):
+    """A file is not a whole state of ours; the text says why."""
+
+
+class Header(msgspec.Struct, frozen=True):
+    """The first line of the file."""
+
+    v: int
+    crc: int
+    boot: str
+
+
+class Store:
+    """The files `state.json` and `state.json.old` in the agent's folder."""
+
+    def __init__(self, folder: Path) -> None:
+        self.file, self.old = folder / "state.json", folder / "state.json.old"
+        self.fresh = folder / "state.json.new"
+
+    def save(self, durable: Durable) -> None:
+        """Write it so that it survives the machine; raises OSError, and then the file before still counts."""
+        body = msgspec.json.encode(durable)
+        head = msgspec.json.encode(Header(VERSION, zlib.crc32(body), boot_id()))
+        with open(self.fresh, "wb") as file:
+            file.write(head + b"\n" + body)
+            file.flush()
+            os.fsync(file.fileno())
+        if self.file.exists():
+            os.replace(self.file, self.old)
+        os.replace(self.fresh, self.file)
+        folder = os.open(self.file.parent, os.O_RDONLY)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
+
+    def load(self) -> tuple[Durable, list[str]]:
+        """The newest state that is whole, and what was wrong with others; an empty one where there is none."""
+        told: list[str] = []
+        for file in (self.file, self.old):
+            try:
+                return self._read(file), told
+            except FileNotFoundError:
+                continue
+            except Damaged as error:
+                told.append(f"{file.name}: {error}")
+        return Durable(), told
+
+    @staticmethod
+    def _read(file: Path) -> Durable:
+        head, _, body = file.read_bytes().partition(b"\n")
+        try:
+            header = msgspec.json.decode(head, type=Header)
+            if header.v != VERSION:
+                raise Damaged(f"version {header.v}; this agent reads {VERSION}")
+            if zlib.crc32(body) != header.crc:
+                raise Damaged("its checksum does not match")
+            durable = msgspec.json.decode(body, type=Durable)
+        except msgspec.DecodeError as error:
+            raise Damaged(str(error)) from error
+        if header.boot != boot_id():
+            # The machine was started anew: no process of before runs, and no time of before means anything.
+            instances = tuple(
+                replace(i, process=None, started_at=0.0, was_ready=False, crashes=type(i.crashes)())
+                for i in durable.instances
+            )
+            roll = durable.roll
+            if roll is not None:
+                steps = tuple(replace(s, since=0.0) for s in roll.steps)
+                roll = replace(roll, steps=steps, made_at=0.0, stuck_since=None)
+            durable = replace(durable, instances=instances, roll=roll)
+        return durable
--- /dev/null
+++ b/juniperward/cli/config.py
@@ -0,0 +1,49 @@
+"""`juniperward config`: settings files looked at without an agent."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from juniperward.cli.shared import USAGE, Output, OutputOption, console, print_json
+from juniperward.settings.load import SettingsError, load, show
+
+app = typer.Typer(help="Check and show settings files.", no_args_is_help=True)
+FileArgument = Annotated[Path, typer.Argument(help="A fleet's settings, protobuf text format.")]
+
+
+@app.command()
+def check(file: FileArgument, output: OutputOption = Output.TABLE) -> None:
+    """Say all that is wrong with a file: its line, its field, and why. Exit code 2 if anything is."""
+    try:
+        settings = load(file)
+    except SettingsError as error:
+        if output is Output.JSON:
+            rows = [{"file": f.file, "line": f.line, "field": f.field, "why": f.text} for f in error.faults]
+            print_json({"ok": False, "faults": rows})
+        else:
+            for fault in error.faults:
+                console.print(str(fault), markup=False, highlight=False, soft_wrap=True)
+        raise typer.Exit(USAGE) from None
+    if output is Output.JSON:
+        print_json({"ok": True, "instances": len(settings.instances)})
+    else:
+        console.print(f"{file}: good, {len(settings.instances)} instances", markup=False, highlight=False)
+
+
+@app.command("show")
+def show_(file: FileArgument) -> None:
+    """Print a file as it is understood, with every default filled in."""
+    try:
+        typer.echo(show(load(file)), nl=False)
+    except SettingsError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(USAGE) from None
+
+
+@app.command()
+def schema() -> None:
+    """Print the commented schema of the settings."""
+    typer.echo((Path(__file__).parent.parent / "settings" / "fleet.proto").read_text(), nl=False)
--- a/juniperward/cli/main.py
+++ b/juniperward/cli/main.py
@@ -1,11 +1,49 @@
-"""The console script `juniperward`."""
+"""The console script `juniperward`: its sub-commands, put together."""
 
 from __future__ import annotations
 
-import sys
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from juniperward.cli import config, fleet
+
+app = typer.Typer(
+    name="juniperward",
+    help="Looks after many forwarders: an agent a machine, and commands that ask it.",
+    no_args_is_help=True,
+    pretty_exceptions_show_locals=False,
+)
+agent = typer.Typer(help="The agent of this machine.", no_args_is_help=True)
+app.add_typer(agent, name="agent")
+app.add_typer(fleet.app, name="fleet")
+app.add_typer(config.app, name="config")
+
+
+@agent.command("run")
+def agent_run(
+    file: Annotated[Path, typer.Argument(help="The fleet's settings, protobuf text format.")],
+    json: Annotated[bool | None, typer.Option("--json/--plain", help="The form of the log's lines.")] = None,
+) -> None:
+    """Keep the instances of a settings file running, until told to end; they go on after it."""
+    from juniperward.agent.start import main as run
+
+    raise typer.Exit(run(file, json))
+
+
+@app.command()
+def demo(
+    rate: Annotated[float, typer.Option(help="Messages a second.")] = 60.0,
+    keep: Annotated[Path | None, typer.Option(help="Keep all files in this folder.")] = None,
+) -> None:
+    """Start an agent, three forwarders, a registry and partners; roll all three under load; judge the run."""
+    from juniperward.rigs.demo import demo as play
+
+    raise typer.Exit(play(rate, keep))
 
 
 def main() -> int:
     """The exit code of what was asked for."""
-    print("juniperward: no sub-commands yet", file=sys.stderr)
-    return 2
+    result = app(standalone_mode=False)
+    return result if isinstance(result, int) else 0
--- a/juniperward/net/http.py
+++ b/juniperward/net/http.py
@@ -9,9 +9,10 @@
 MOST_HEAD, MOST_BODY, MOST_CHUNK = 16 * 1024, 64 * 1024, 1024 * 1024
 MOST_INTERIM = 16  # 1xx answers ahead of one that counts
 REASONS = {
-    200: "OK", 202: "Accepted", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-    408: "Request Timeout", 411: "Length Required", 413: "Content Too Large",
-    431: "Request Header Fields Too Large", 500: "Internal Server Error", 503: "Service Unavailable",
+    200: "OK", 202: "Accepted", 204: "No Content", 400: "Bad Request", 403: "Forbidden", 404: "Not Found",
+    405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict", 411: "Length Required",
+    413: "Content Too Large", 429: "Too Many Requests", 431: "Request Header Fields Too Large",
+    500: "Internal Server Error", 503: "Service Unavailable", 504: "Gateway Timeout",
     505: "HTTP Version Not Supported",
 }  # fmt: skip
 STATUS, HEX = re.compile(rb"[1-9][0-9]{2}"), re.compile(rb"[0-9A-Fa-f]{1,8}")  # int() takes far more
@@ -142,7 +143,7 @@
         return None
     if not text.isascii() or not text.isdigit():
         raise Malformed(400, "content-length is not a number")
-    return int(text) if len(text) < 12 else MOST_BODY + 1
+    return int(text) if len(text) < 12 else 10**12
 
 
 def _closes(version: bytes, headers: dict[str, str]) -> bool:
@@ -214,8 +215,10 @@
         raise broken from error
 
 
-def read_response(stream: Stream, begun: Callable[[bool], None] = lambda _: None) -> Response:
-    """A whole response; `begun` as in `read_head`."""
+def read_response(
+    stream: Stream, begun: Callable[[bool], None] = lambda _: None, most: int = MOST_BODY
+) -> Response:
+    """A whole response with a body of `most` bytes at most; `begun` as in `read_head`."""
     status, headers, close = read_head(stream, begun)
     try:
         if status in (204, 304):
@@ -224,16 +227,16 @@
             if headers["transfer-encoding"].lower() != "chunked" or "content-length" in headers:
                 raise Malformed(400, "the length of the body is not clear")
             body = b""
-            for chunk in chunks(stream, MOST_BODY):
+            for chunk in chunks(stream, most):
                 body += chunk
-                if len(body) > MOST_BODY:
+                if len(body) > most:
                     raise Malformed(413, "the body is too large")
         elif (length := _length(headers)) is not None:
-            if length > MOST_BODY:
+            if length > most:
                 raise Malformed(413, "the body is too large")
             body = stream.exactly(length)
         else:
-            body, close = stream.rest(MOST_BODY), True
+            body, close = stream.rest(most), True
     except (Broken, Malformed) as error:
         broken = Broken(str(error))
         broken.status = status
--- /dev/null
+++ b/juniperward/rigs/demo.py
@@ -0,0 +1,69 @@
+"""`juniperward demo`: a whole fleet in half a minute, judged by the checker."""
+
+from __future__ import annotations
+
+import contextlib
+import tempfile
+import time
+from pathlib import Path
+
+from rich.console import Console
+from rich.table import Table
+
+from juniperward.rigs.yard import Yard
+from juniperward.standins.partners import PartnerSpec
+
+LOAD = 14.0  # seconds of traffic
+PARTNERS = [
+    PartnerSpec(1, "booking-sites", workers=2, latency=0.06, rate=60.0, batch=20),
+    PartnerSpec(2, "small-partners", workers=2, latency=0.03),
+    PartnerSpec(3, "small-partners", workers=1, latency=0.05),
+    PartnerSpec(4, "small-partners", workers=2, latency=0.1),
+]
+
+
+def demo(rate: float, keep: Path | None) -> int:
+    """The exit code: 0 where every rule held and the roll ended, else 1."""
+    console = Console()
+    began = time.monotonic()
+    with contextlib.ExitStack() as stack:
+        if keep is None:
+            folder = Path(stack.enter_context(tempfile.TemporaryDirectory(prefix="juniperward-")))
+        else:
+            keep.mkdir(parents=True, exist_ok=True)
+            folder = keep.resolve()
+        yard = stack.enter_context(Yard(folder, 3, PARTNERS))
+        console.print("starting a registry, 4 partners, an agent and 3 forwarders")
+        yard.start()
+        console.print(f"{rate:g} messages a second for {LOAD:g} s; a worker drains amid it; all forwarders roll")
+        clients = yard.clients(rate, LOAD)
+        time.sleep(2.0)
+        yard.ask("roll", soak=1.0)
+        time.sleep(1.0)
+        yard.registry.put(*yard.partners[2].entries("Terminating", 0))
+        roll = yard.roll_end(60.0)
+        console.print(f"roll {roll['id']} is {roll['mode']} {roll['why']}")
+        clients.done.wait(60.0)
+        yard.settle(25.0)
+        status = yard.ask("status")
+        verdict = yard.verdict()
+    made = Table("what", "count", box=None)
+    rows = [
+        ("messages of clients", verdict.asked),
+        ("handed in, with second tries", verdict.handed),
+        ("taken on", verdict.taken),
+        ("delivered", verdict.delivered),
+        ("ended by a notice", verdict.noticed),
+        ("turned away", verdict.refused),
+        ("without an answer", verdict.unanswered),
+        ("calls to partners", verdict.calls),
+        ("share of worth kept", f"{verdict.worth:.3f}"),
+        ("forwarders ready at the end", status["ready"]),
+        ("seconds", f"{time.monotonic() - began:.1f}"),
+    ]
+    for name, value in rows:
+        made.add_row(name, str(value))
+    console.print(made)
+    for line in verdict.lines():
+        console.print(line, markup=False, highlight=False, style="green" if verdict.good else "red")
+    return 0 if verdict.good and roll["mode"] == "done" else 1
--- /dev/null
+++ b/juniperward/standins/clients.py
@@ -0,0 +1,246 @@
+"""Stand-ins of clients behind a plain front: an open loop that does not wait for answers before it goes on.
+
+Messages are due by a Poisson process; a message's time counts from when it was due, however late the rig was.
+A message that is refused, or gets no answer, is handed in again as the protocol page says: with a fresh id, the
+same key, after the told wait or a backoff, and only while its own time lasts.
+"""
+
+from __future__ import annotations
+
+import heapq
+import queue
+import random
+import socket
+import threading
+import time
+from dataclasses import dataclass, field
+
+from juniperward.net.http import Broken, Closed, Malformed, Stream, encode_call, read_response
+from juniperward.standins.records import Handed, Heard, Recorder, now
+
+ANSWER = 0.4  # seconds that a client waits for an answer
+BODY = b"a family of four, gate 3, yard of the third generation"
+
+
+@dataclass(frozen=True, slots=True)
+class Traffic:
+    """What is sent; rates in messages a second, times in seconds."""
+
+    rate: float = 50.0
+    destinations: tuple[tuple[int, float], ...] = ((1, 1.0),)  # number and weight
+    accounts: tuple[tuple[str, float], ...] = (("valiya-yard", 1.0),)
+    cls: str = "booking-update"
+    deadline: float = 20.0
+    tries: int = 2  # of one message in all
+    backoff: float = 0.5
+
+
+@dataclass(order=True)
+class Due:
+    """A message to be handed in."""
+
+    at: float
+    number: int
+    first: str = field(compare=False, default="")
+    key: str = field(compare=False, default="")
+    account: str = field(compare=False, default="")
+    destination: int = field(compare=False, default=0)
+    due: float = field(compare=False, default=0.0)
+    tried: int = field(compare=False, default=0)
+
+
+class Front:
+    """Spreads clients over the forwarders that say they are ready; learns of changes by looking."""
+
+    def __init__(self, forwarders: dict[str, tuple[str, int]], every: float = 0.1) -> None:
+        self.forwarders, self.every = forwarders, every
+        self.up: tuple[str, ...] = tuple(forwarders)
+        self.turn = 0
+        self.closed = False
+
+    def start(self) -> None:
+        threading.Thread(target=self._look, daemon=True).start()
+
+    def next(self, avoid: frozenset[str] = frozenset()) -> str:
+        """The forwarder for the next message; any of them where none is ready."""
+        choice = [n for n in self.up if n not in avoid] or list(self.up) or list(self.forwarders)
+        self.turn += 1
+        return choice[self.turn % len(choice)]
+
+    def _look(self) -> None:
+        while not self.closed:
+            self.up = tuple(n for n, address in self.forwarders.items() if ready(address))
+            time.sleep(self.every)
+
+
+def ready(address: tuple[str, int], patience: float = 0.3) -> bool:
+    """Whether a forwarder's ready page says yes."""
+    try:
+        with socket.create_connection(address, patience) as sock:
+            sock.settimeout(patience)
+            sock.sendall(encode_call("GET", "/health/ready", "front", {"Connection": "close"}, None))
+            return read_response(Stream(sock.recv)).status == 200
+    except (OSError, Broken, Closed, Malformed):
+        return False
+
+
+class Clients:
+    """Threads that hand messages in; `lateness` has how late each was written."""
+
+    def __init__(
+        self, traffic: Traffic, front: Front, recorder: Recorder, seed: int, threads: int = 48, name: str = "c"
+    ) -> None:
+        self.traffic, self.front, self.recorder = traffic, front, recorder
+        self.random, self.name = random.Random(seed), name
+        self.threads = threads
+        self.jobs: queue.SimpleQueue[Due | None] = queue.SimpleQueue()
+        self.heap: list[Due] = []
+        self.changed = threading.Condition()
+        self.stop_at = float("inf")
+        self.numbers = 0
+        self.lateness: list[float] = []
+        self.open = 0  # messages that are not settled for their client
+        self.done = threading.Event()
+
+    def start(self, seconds: float) -> None:
+        """Send for so long; `done` is set once every message is settled for its client."""
+        began = now()
+        self.stop_at = began + seconds
+        at = began
+        while True:
+            at += self.random.expovariate(self.traffic.rate)
+            if at >= self.stop_at:
+                break
+            self.numbers += 1
+            t = self.traffic
+            account = self.random.choices([a for a, _ in t.accounts], [w for _, w in t.accounts])[0]
+            destination = self.random.choices([d for d, _ in t.destinations], [w for _, w in t.destinations])[0]
+            first = f"{self.name}{self.numbers:07d}"
+            key = f"k{first}"
+            self.heap.append(Due(at, self.numbers, first, key, account, destination, at))
+        heapq.heapify(self.heap)
+        self.open = len(self.heap)
+        if not self.open:
+            self.done.set()
+        threading.Thread(target=self._schedule, daemon=True).start()
+        for _ in range(self.threads):
+            threading.Thread(target=self._work, daemon=True).start()
+
+    def _schedule(self) -> None:
+        while True:
+            with self.changed:
+                if not self.heap:
+                    if self.done.is_set():
+                        break
+                    self.changed.wait(0.1)
+                    continue
+                wait = self.heap[0].at - now()
+                if wait > 0:
+                    self.changed.wait(min(wait, 0.1))
+                    continue
+                due = heapq.heappop(self.heap)
+            self.jobs.put(due)
+        for _ in range(self.threads):
+            self.jobs.put(None)
+
+    def _work(self) -> None:
+        kept: dict[str, tuple[socket.socket, Stream]] = {}
+        while (due := self.jobs.get()) is not None:
+            try:
+                self._hand_in(due, kept)
+            except Exception:
+                self._settled()
+                raise
+        for sock, _ in kept.values():
+            sock.close()
+
+    def _settled(self) -> None:
+        with self.changed:
+            self.open -= 1
+            if self.open <= 0:
+                self.done.set()
+                self.changed.notify_all()
+
+    def _hand_in(self, due: Due, kept: dict[str, tuple[socket.socket, Stream]]) -> None:
+        t = self.traffic
+        if due.tried == 0:
+            self.lateness.append(now() - due.at)
+        refused: frozenset[str] = frozenset()
+        expires = due.due + t.deadline
+        while True:
+            due.tried += 1
+            name = due.first if due.tried == 1 else f"{due.first}-{due.tried}"
+            forwarder = self.front.next(refused)
+            left = expires - now()
+            if left <= 0.05:
+                break
+            link = self._connect(forwarder, kept)
+            if link is None:
+                # Nobody was there: the front takes another at once, and that is no try of the client's.
+                refused |= {forwarder}
+                due.tried -= 1
+                if len(refused) >= len(self.front.forwarders):
+                    refused = frozenset()
+                    time.sleep(0.05)
+                continue
+            status, again = self._ask(link, forwarder, due, name, left, expires, kept)
+            if status in (200, 202):
+                break
+            if due.tried >= t.tries or status == 400:
+                break
+            wait = again if again > 0 else t.backoff * (0.5 + self.random.random())
+            due.at = now() + wait
+            with self.changed:
+                heapq.heappush(self.heap, due)
+                self.changed.notify_all()
+            return
+        self._settled()
+
+    def _connect(
+        self, forwarder: str, kept: dict[str, tuple[socket.socket, Stream]]
+    ) -> tuple[socket.socket, Stream] | None:
+        link = kept.get(forwarder)
+        if link is not None:
+            try:
+                if link[0].recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b"":
+                    raise ConnectionResetError
+            except BlockingIOError:
+                return link
+            except OSError:
+                link[0].close()
+                del kept[forwarder]
+        try:
+            sock = socket.create_connection(self.front.forwarders[forwarder], ANSWER)
+        except OSError:
+            return None
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        kept[forwarder] = (sock, Stream(sock.recv))
+        return kept[forwarder]
+
+    def _ask(
+        self, link: tuple[socket.socket, Stream], forwarder: str, due: Due, name: str, left: float,
+        expires: float, kept: dict[str, tuple[socket.socket, Stream]],
+    ) -> tuple[int, float]:  # fmt: skip
+        t, (sock, stream) = self.traffic, link
+        headers = {
+            "X-Correlation-Id": name, "X-Service-Class": t.cls, "X-Account": due.account,
+            "X-Time-Left": f"{left:.3f}", "X-Addressing": f"dest={due.destination}", "Idempotency-Key": due.key,
+        }  # fmt: skip
+        at = now()
+        self.recorder.add(
+            Handed(at, name, due.first, due.key, t.cls, due.account, due.destination, forwarder, due.due, expires)
+        )
+        status, again, close = 0, 0.0, True
+        try:
+            sock.settimeout(ANSWER)
+            sock.sendall(encode_call("POST", "/api", "api.internal", headers, BODY))
+            answer = read_response(stream)
+            status, close = answer.status, answer.close
+            again = float(answer.headers.get("retry-after", 0.0))
+        except (OSError, Broken, Closed, Malformed):
+            pass
+        if close:
+            sock.close()
+            kept.pop(forwarder, None)
+        self.recorder.add(Heard(now(), name, status, again))
+        return status, again
