Prove the agent's rolls over every death, torn save and full disk in a simulated machine

Need: an agent killed amid a roll must neither start an instance twice nor leave one out. Its reducer now takes up what is on disk and what runs as one event, and a simulated machine drives it: the agent dies before each effect of a roll, each save is torn or refused, instances crash and stall at random.

--- a/juniperward/agent/loop.py
+++ b/juniperward/agent/loop.py
@@ -5,7 +5,6 @@
 import queue
 import time
 from collections.abc import Callable
-from dataclasses import replace
 from typing import Any
 
 import structlog
@@ -17,9 +16,9 @@
     Configured,
     Effect,
     Event,
-    Found,
     Note,
     Reply,
+    Restored,
     Rules,
     Save,
     Saved,
@@ -68,32 +67,14 @@
         durable, told = self.store.load()
         for text in told:
             self.note("state file is damaged", "error", {"why": text})
-        r = self.reducer
-        instances = r.state.instances
+        running = processes.find(self.launcher.mark)
         for i in durable.instances:
-            instances = instances.set(i.name, i)
-        found = processes.find(self.launcher.mark)
+            if i.process is not None and processes.alive(i.process):
+                running[i.name] = i.process
         now = time.monotonic()
-        running = {}
-        for name, i in instances.items():
-            process = i.process
-            if process is not None and not processes.alive(process):
-                process = None
-            process = process or found.get(name)
-            if process is not None:
-                running[name] = process
-            elif i.process is not None:
-                instances = instances.set(name, replace(i, process=None, was_ready=False))
-        r.state = replace(
-            r.state, instances=instances, roll=durable.roll, rolls=durable.rolls, edition=durable.edition
-        )
+        started = [(name, p, min(processes.started_at(p), now)) for name, p in sorted(running.items())]
+        self.round([Restored(durable, tuple(started))])
         self.round([self.configured(self.settings)])
-        for name, process in found.items():
-            running.setdefault(name, process)
-        for name, process in running.items():
-            self.round([Found(name, process, min(processes.started_at(process), now))])
-        if durable.roll is not None and not durable.roll.over:
-            self.note("roll taken up", "info", {"roll": durable.roll.id, "mode": durable.roll.mode.value})
 
     def configured(self, settings: FleetSettings, asked_by: int | None = None) -> Configured:
         """Keep the settings as an edition and tell the reducer; raises OSError."""
--- a/juniperward/agent/messages.py
+++ b/juniperward/agent/messages.py
@@ -87,12 +87,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Found:
-    """A process of an earlier agent runs still."""
+class Restored:
+    """What an earlier agent wrote down, and which of its processes run still; comes once, first of all."""
 
-    name: str
-    process: Process
-    started_at: float
+    durable: Durable
+    running: tuple[tuple[str, Process, float], ...]  # instance, process, when it started
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,7 +149,7 @@
     options: dict[str, Any] = field(default_factory=dict)
 
 
-Event = Ticked | Configured | Found | Answered | Unanswered | Exited | Spawned | Saved | Asked
+Event = Ticked | Configured | Restored | Answered | Unanswered | Exited | Spawned | Saved | Asked
 
 # --- effects -----------------------------------------------------------------------------------------------
 
--- a/juniperward/agent/reducer.py
+++ b/juniperward/agent/reducer.py
@@ -21,9 +21,9 @@
     Effect,
     Event,
     Exited,
-    Found,
     Note,
     Reply,
+    Restored,
     Save,
     Saved,
     Signal,
@@ -71,8 +71,8 @@
                 self._tick()
             case Configured():
                 self._configured(event)
-            case Found(name=name, process=process, started_at=at):
-                self._found(name, process.pid, Spawned(name, "", process), at)
+            case Restored():
+                self._restored(event)
             case Answered(name=name, reading=reading):
                 i = self.state.instances.get(name)
                 if i is not None and i.process is not None and i.process.pid == reading.pid:
@@ -144,20 +144,41 @@
         if e.asked_by is not None:
             self._reply(e.asked_by, {"edition": e.edition, "changed": s.edition != e.edition})
 
-    def _found(self, name: str, pid: int, spawned: Spawned, at: float) -> None:
-        """Adopt a process that an earlier agent started; what it was told before is told again if need be."""
-        i = self.state.instances.get(name)
-        if i is None or spawned.process is None:
-            return
-        edition = i.edition or self.state.edition
-        self._put(
-            replace(
-                i, process=spawned.process, started_at=at, edition=edition, reading=None,
-                unanswered_since=None, stopping_since=None, killed=False,
+    def _restored(self, e: Restored) -> None:
+        """Take up what an earlier agent left. What it had told its processes is told again if need be."""
+        d = e.durable
+        running = {name: (process, at) for name, process, at in e.running}
+        instances = self.state.instances
+        for i in d.instances:
+            if i.process is not None and i.name not in running:
+                # It ended while nobody looked; how is not known, and is held against nobody.
+                i = replace(i, process=None, was_ready=False, exit="ended while no agent looked")
+            instances = instances.set(i.name, i)
+        for name, (process, at) in running.items():
+            i = instances.get(name, Instance(name, Wanted.RUNNING))
+            # An edition that was never written down belongs to a start that was under way.
+            same = i.process == process
+            edition = i.edition if same else self._goal(d.roll, name) or i.edition
+            instances = instances.set(
+                name, replace(i, process=process, started_at=at, edition=edition, was_ready=same and i.was_ready)
             )
-        )  # fmt: skip
-        self.effects.append(Watch(name, spawned.process))
-        self._note("adopted", instance=name, pid=pid)
+            self.effects.append(Watch(name, process))
+            self.effects.append(Note("adopted", {"instance": name, "pid": process.pid}))
+        self.state = replace(
+            self.state, instances=instances, roll=d.roll, rolls=d.rolls, edition=d.edition, saved=d
+        )
+        if d.roll is not None and not d.roll.over:
+            self.effects.append(Note("roll taken up", {"roll": d.roll.id, "mode": d.roll.mode.value}))
+
+    @staticmethod
+    def _goal(roll: rolls.Roll | None, name: str) -> str:
+        """The edition that a roll under way would start this instance with, if it is at that."""
+        if roll is None or roll.over:
+            return ""
+        for s in roll.steps:
+            if s.name == name and s.stage in (Stage.STARTING, Stage.SOAKING):
+                return roll.goal(s)
+        return ""
 
     def _exited(self, i: Instance, how: str) -> None:
         s = self.state
--- /dev/null
+++ b/tests/agent_world.py
@@ -0,0 +1,251 @@
+"""A simulated machine for the agent's reducer: processes, disk and time, all in memory and all in its hands.
+
+`World.run` drives the real reducer as the agent's loop does. It can kill the agent before its n-th effect, fail
+or tear its n-th save, and take processes away; what was promised is asserted all the time: never two processes of
+an instance, never fewer ready ones than the floor.
+"""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Any
+
+import msgspec
+
+from juniperward.agent.messages import (
+    Answered,
+    Asked,
+    Configured,
+    Durable,
+    Effect,
+    Event,
+    Exited,
+    Note,
+    Reply,
+    Restored,
+    Rules,
+    Save,
+    Saved,
+    Signal,
+    Spawn,
+    Spawned,
+    Tell,
+    Ticked,
+    Unanswered,
+    Watch,
+)
+from juniperward.agent.reducer import Reducer
+from juniperward.fleet.model import Patience, Process, Reading, RestartRules, RollRules
+from tests.test_fleet import BLANK
+
+RULES = Rules(
+    RestartRules(first=0.3, most=2.0), Patience(silent=1.0, start=8.0, stop=2.0),
+    RollRules(floor=2, soak=0.5, soak_most=2.0, drain=3.0, patience=6.0),
+)  # fmt: skip
+
+
+class Died(Exception):
+    """The agent's process is gone."""
+
+
+@dataclass
+class Machine:
+    """A forwarder's process as the machine has it."""
+
+    process: Process
+    edition: str
+    born: float
+    drained: bool = False
+    stopped: bool = False  # by SIGSTOP
+    term_at: float | None = None
+    delivered: int = 0
+
+
+class World:
+    """Time, processes and the agent's disk."""
+
+    def __init__(self, names: tuple[str, ...] = ("n0", "n1", "n2"), seed: int = 1) -> None:
+        self.names, self.seed = names, seed
+        self.now, self.pid, self.effects_done, self.saves = 1000.0, 100, 0, 0
+        self.machines: dict[str, Machine] = {}
+        self.disk, self.old = b"", b""  # the state file and the one before
+        self.replies: list[Reply] = []
+        self.notes: list[Note] = []
+        self.edition = "a"
+        self.broken_editions: dict[str, str] = {}  # edition to how its processes end at once
+        self.hopeless: set[str] = set()  # instances that cannot be spawned
+        self.stubborn: set[str] = set()  # ignore SIGTERM
+        self.die_at: int | None = None  # effect before which the agent dies
+        self.full: Callable[[int], bool] = lambda save: False
+        self.tear_at: int | None = None  # save that is cut off half way, with the agent's death
+        self.deaths = 0
+        self.least = len(names)
+        self.watched: dict[str, Process | None] = {}
+        self.unanswered: dict[str, float] = {}
+        self.begin()
+        self.run(4.0)
+        assert self.ready() == len(names), self.notes
+        self.effects_done = self.saves = 0
+        self.least = len(names)
+
+    # --- the agent's life ------------------------------------------------------------------------------------
+
+    def begin(self) -> None:
+        """A new agent's process, with nothing but the disk and what runs."""
+        self.reducer = Reducer(self.seed)
+        self.watched.clear()
+        self.unanswered.clear()
+        durable = Durable()
+        for text in (self.disk, self.old):
+            try:
+                durable = msgspec.json.decode(text, type=Durable)
+                break
+            except msgspec.DecodeError:
+                continue
+        running = tuple((n, m.process, m.born) for n, m in sorted(self.machines.items()))
+        self.round([Restored(durable, running)])
+        self.configure()
+
+    def configure(self, names: tuple[str, ...] | None = None) -> None:
+        self.names = names or self.names
+        self.round([Configured(self.names, frozenset(), self.edition, RULES)])
+
+    def round(self, events: list[Event]) -> None:
+        while events:
+            follow: list[Event] = []
+            for effect in self.reducer.reduce(self.now, events):
+                if self.die_at is not None and self.effects_done >= self.die_at:
+                    self.die_at = None
+                    raise Died
+                self.effects_done += 1
+                follow += self.perform(effect)
+            events = follow
+
+    def perform(self, effect: Effect) -> list[Event]:
+        match effect:
+            case Save(durable=durable):
+                self.saves += 1
+                if self.full(self.saves):
+                    return [Saved(durable, "No space left on device")]
+                text = msgspec.json.encode(durable)
+                if self.tear_at == self.saves:
+                    self.tear_at = None
+                    self.old, self.disk = self.disk, text[: len(text) // 2]
+                    raise Died
+                self.old, self.disk = self.disk, text
+                return [Saved(durable)]
+            case Spawn(name=name, edition=edition):
+                if name in self.hopeless:
+                    return [Spawned(name, edition, None, "cannot be started")]
+                assert name not in self.machines, f"{name} runs already: started twice"
+                self.pid += 1
+                self.machines[name] = Machine(Process(self.pid, self.pid), edition, self.now)
+                return [Spawned(name, edition, self.machines[name].process)]
+            case Signal(name=name, process=process, signal=number):
+                m = self.machines.get(name)
+                if m is not None and m.process == process:
+                    if number == signal.SIGKILL:
+                        self.end(name, "signal 9")
+                    elif name not in self.stubborn and m.term_at is None:
+                        m.term_at = self.now
+            case Tell(name=name, verb=verb):
+                m = self.machines.get(name)
+                if m is not None and not m.stopped:
+                    m.drained = verb == "drain"
+            case Watch(name=name, process=watched):
+                self.watched[name] = watched
+                self.unanswered.pop(name, None)
+            case Reply():
+                self.replies.append(effect)
+            case Note():
+                self.notes.append(effect)
+        return []
+
+    # --- the machine ------------------------------------------------------------------------------------------
+
+    def end(self, name: str, how: str) -> None:
+        del self.machines[name]
+        self.ends = {**getattr(self, "ends", {}), name: how}
+
+    def ready(self) -> int:
+        return sum(
+            self.now - m.born >= 0.3 and not m.drained and not m.stopped and m.term_at is None
+            for m in self.machines.values()
+        )
+
+    def reading(self, m: Machine) -> Reading:
+        up = self.now - m.born >= 0.3
+        return replace(
+            BLANK, at=self.now, pid=m.process.pid, phase="drained" if m.drained else "serving",
+            ready=up and not m.drained, heard=up, delivered=m.delivered,
+        )  # fmt: skip
+
+    def step(self, seconds: float = 0.1) -> None:
+        """Time passes; the machine's part of it, then the agent's."""
+        self.now += seconds
+        for name, m in list(self.machines.items()):
+            how = self.broken_editions.get(m.edition)
+            if how is not None and self.now - m.born >= 0.1:
+                self.end(name, how)
+            elif m.term_at is not None and not m.stopped and self.now - m.term_at >= 0.2:
+                self.end(name, "exit 0")
+            elif not m.drained and not m.stopped:
+                m.delivered += 3
+        events: list[Event] = []
+        for name, process in self.watched.items():
+            if process is None:
+                continue
+            m2 = self.machines.get(name)
+            if m2 is None or m2.process != process:
+                events.append(Exited(name, process, getattr(self, "ends", {}).get(name, "gone")))
+            elif m2.stopped:
+                since = self.unanswered.setdefault(name, self.now)
+                events.append(Unanswered(name, process, since, "no answer"))
+            else:
+                self.unanswered.pop(name, None)
+                events.append(Answered(name, self.reading(m2)))
+        try:
+            self.round([*events, Ticked()])
+        except Died:
+            self.deaths += 1
+            self.now += 0.5
+            self.begin()
+
+    def run(self, seconds: float, until: Callable[[], bool] = lambda: False) -> bool:
+        """Go on for so long, or until something holds; whether it does."""
+        end = self.now + seconds
+        while self.now < end:
+            if until():
+                return True
+            self.step()
+            self.least = min(self.least, self.ready())
+        return until()
+
+    # --- orders -----------------------------------------------------------------------------------------------
+
+    def ask(self, verb: str, *names: str, **options: Any) -> Reply:
+        """The reply to an order; an agent that dies of it is started again and asked once more."""
+        before = len(self.replies)
+        for _ in range(2):
+            try:
+                self.round([Asked(1, verb, names, options)])
+            except Died:
+                self.deaths += 1
+                self.begin()
+                roll = self.reducer.state.roll
+                if verb == "roll" and roll is not None and not roll.over:
+                    return Reply(1, 200, {})
+                continue
+            break
+        return self.replies[-1] if len(self.replies) > before else Reply(1, 504, {})
+
+    @property
+    def mode(self) -> str:
+        roll = self.reducer.state.roll
+        return roll.mode.value if roll is not None else ""
+
+    def over(self) -> bool:
+        roll = self.reducer.state.roll
+        return roll is not None and roll.over
