--- a/juniperward/agent/processes.py
+++ b/juniperward/agent/processes.py
@@ -59,14 +59,15 @@
 
 def reap(process: Process) -> str | None:
     """How it ended, or None while it runs; `gone` where it is no child of ours."""
+    running = alive(process)  # looked at first: what has ended before the wait below is told by it
     try:
         pid, status = os.waitpid(process.pid, os.WNOHANG)
-        if pid == process.pid:
-            code = os.waitstatus_to_exitcode(status)
-            return f"exit {code}" if code >= 0 else f"signal {-code}"
     except ChildProcessError:
-        pass
-    return None if alive(process) else "gone"
+        return None if running else "gone"
+    if pid != process.pid:
+        return None
+    code = os.waitstatus_to_exitcode(status)
+    return f"exit {code}" if code >= 0 else f"signal {-code}"
 
 
 def send(process: Process, number: int) -> bool:
--- a/juniperward/rigs/yard.py
+++ b/juniperward/rigs/yard.py
@@ -201,8 +201,15 @@
         return clients
 
     def settle(self, patience: float = 30.0) -> None:
-        """Wait until no forwarder owes anything."""
-        self.until(lambda s: all(r["owing"] == 0 for r in s["instances"] if r["pid"] is not None), patience)
+        """Wait until no forwarder owes anything, by what each has said since this call."""
+        began = time.monotonic()
+
+        def settled(status: dict[str, Any]) -> bool:
+            rows = [r for r in status["instances"] if r["pid"] is not None]
+            since = time.monotonic() - began - 0.1
+            return all(r["owing"] == 0 and r["age"] is not None and r["age"] < since for r in rows)
+
+        self.until(settled, patience)
 
     def verdict(self, bounds: Bounds | None = None) -> Verdict:
         """What the records say, with the lives of the forwarders as the agent had them."""
--- /dev/null
+++ b/tests/test_agent_parts.py
@@ -0,0 +1,206 @@
+"""The agent's hands: its file, its processes, its API."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from juniperward.agent import api, processes, store
+from juniperward.agent.client import AgentRefused, AgentSilent, ask, ask_all
+from juniperward.agent.loop import Loop
+from juniperward.agent.messages import Asked, Durable
+from juniperward.agent.processes import MARK, Launcher
+from juniperward.agent.start import Busy, take
+from juniperward.agent.store import Store
+from juniperward.fleet.model import Instance, Process, Wanted
+from juniperward.settings.load import load
+from tests.test_settings import GOOD
+
+
+class StoreTest(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.store = Store(Path(folder.name))
+        self.one = Durable((Instance("a", Wanted.RUNNING, Process(5, 6), 1.5, "e1"),), None, 3, "e1")
+        self.two = Durable((), None, 4, "e2")
+
+    def test_it_comes_back_as_it_went(self) -> None:
+        self.assertEqual(self.store.load(), (Durable(), []))
+        self.store.save(self.one)
+        self.assertEqual(self.store.load(), (self.one, []))
+
+    def test_a_file_torn_at_any_byte_gives_the_state_before(self) -> None:
+        self.store.save(self.one)
+        self.store.save(self.two)
+        whole = self.store.file.read_bytes()
+        for length in range(len(whole)):
+            self.store.file.write_bytes(whole[:length])
+            found, told = self.store.load()
+            self.assertEqual((found, len(told)), (self.one, 1), length)
+
+    def test_a_flipped_bit_is_seen(self) -> None:
+        self.store.save(self.one)
+        self.store.save(self.two)
+        whole = bytearray(self.store.file.read_bytes())
+        for place in range(len(whole)):
+            damaged = bytearray(whole)
+            damaged[place] ^= 1
+            self.store.file.write_bytes(damaged)
+            self.assertIn(self.store.load()[0], (self.one, self.two), place)
+
+    def test_a_full_disk_at_any_step_leaves_the_state_before(self) -> None:
+        self.store.save(self.one)
+        for name in ("os.fsync", "os.replace", "builtins.open"):
+            full = mock.patch(name, side_effect=OSError(28, "No space left on device"))
+            with full, self.assertRaises(OSError):
+                self.store.save(self.two)
+            self.assertEqual(self.store.load()[0], self.one, name)
+
+    def test_another_version_is_told(self) -> None:
+        self.store.save(self.one)
+        text = self.store.file.read_bytes()
+        self.store.file.write_bytes(text.replace(b'"v":1', b'"v":9'))
+        self.assertIn("version 9", self.store.load()[1][0])
+
+    def test_another_boot_knows_no_processes(self) -> None:
+        self.store.save(self.one)
+        with mock.patch.object(store, "boot_id", return_value="other"):
+            found, _ = self.store.load()
+        self.assertIsNone(found.instances[0].process)
+        self.assertEqual(found.instances[0].wanted, Wanted.RUNNING)
+
+
+class ProcessesTest(unittest.TestCase):
+    def child(self, *more: str, **environment: str) -> subprocess.Popen[bytes]:
+        code = "import sys; sys.stdin.read()"
+        child = subprocess.Popen(
+            [sys.executable, "-c", code, *more], stdin=subprocess.PIPE, env={**os.environ, **environment}
+        )
+        self.addCleanup(child.stdin.close)  # type: ignore[union-attr]
+        self.addCleanup(child.wait)
+        self.addCleanup(child.kill)
+        return child
+
+    def test_a_reused_pid_is_neither_alive_nor_signalled(self) -> None:
+        child = self.child()
+        process = processes.identify(child.pid)
+        assert process is not None
+        self.assertTrue(processes.alive(process))
+        other = Process(child.pid, process.start + 1)
+        self.assertFalse(processes.alive(other))
+        self.assertFalse(processes.send(other, signal.SIGKILL))
+        self.assertIsNone(child.poll())
+        self.assertTrue(processes.send(process, signal.SIGKILL))
+        while (how := processes.reap(process)) is None:
+            pass
+        self.assertEqual(how, "signal 9")
+        self.assertEqual(processes.reap(process), "gone")
+        self.assertFalse(processes.send(process, signal.SIGTERM))
+
+    def test_a_start_time_is_on_this_clock(self) -> None:
+        before = time.monotonic()
+        process = processes.identify(self.child().pid)
+        assert process is not None
+        self.assertAlmostEqual(processes.started_at(process), before, delta=2.0)
+
+    def test_marked_processes_are_found_again(self) -> None:
+        child = self.child(**{MARK: f"/some/{os.getpid()}:n1"})
+        self.child(**{MARK: f"/some/{os.getpid()}x:n2"})
+        while not (found := processes.find(f"/some/{os.getpid()}")):
+            pass
+        self.assertEqual({name: p.pid for name, p in found.items()}, {"n1": child.pid})
+
+    def test_logs_rotate_under_their_writer(self) -> None:
+        with tempfile.TemporaryDirectory() as name:
+            launcher = Launcher(Path(name))
+            file = launcher.log_file("a")
+            file.parent.mkdir()
+            self.assertFalse(launcher.rotate("a", 10, 2))
+            with open(file, "ab", buffering=0) as writer:
+                for n in range(4):
+                    writer.write(b"line %d of the log\n" % n)
+                    self.assertTrue(launcher.rotate("a", 10, 2))
+                writer.write(b"last\n")
+            self.assertEqual(file.read_text(), "last\n")
+            self.assertIn("line 3", Path(f"{file}.1").read_text())
+            self.assertIn("line 2", Path(f"{file}.2").read_text())
+            self.assertFalse(Path(f"{file}.3").exists())
+            self.assertEqual(launcher.tail("a", 5), ["last"])
+            self.assertEqual(launcher.tail("none", 5), [])
+
+
+class ApiTest(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        (self.folder / "base.json").write_text('{"settings": {}}')
+        (self.folder / "f.textproto").write_text(GOOD)
+        self.settings = load(self.folder / "f.textproto")
+        self.settings.folder.mkdir(mode=0o700)
+        self.loop = Loop(self.settings, Store(self.settings.folder), 1)
+        self.api = api.Api(self.settings.socket, self.loop, lambda _: {"error": "no"}, lambda _: None)
+        self.api.start()
+        self.addCleanup(self.api.close)
+
+    def answer(self) -> None:
+        """Do the loop's part for one order."""
+        event = self.loop.events.get(timeout=5.0)
+        assert isinstance(event, Asked)
+        self.loop.round([event])
+
+    def test_orders_pass_through_the_loop(self) -> None:
+        import threading
+
+        thread = threading.Thread(target=self.answer)
+        thread.start()
+        found = ask(self.settings.socket, "status")
+        thread.join()
+        self.assertEqual((found["instances"], found["agent"]["name"]), ([], "yard"))
+
+    def test_what_is_wrong_is_told(self) -> None:
+        path = self.settings.socket
+        for verb, names, status in (("dance", [], 404), ("logs", [], 400), ("inspect", ["n9"], 404),
+                                    ("logs", ["n9"], 404), ("reload", [], 400)):  # fmt: skip
+            with self.subTest(verb), self.assertRaises(AgentRefused) as caught:
+                ask(path, verb, names)
+            self.assertEqual(caught.exception.status, status)
+        for body in (b"[", b'{"names": 5}', b"[" * 60000):
+            with self.subTest(body[:20]), socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as sock:
+                sock.settimeout(5.0)
+                sock.connect(str(path))
+                sock.sendall(b"POST /v1/status HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+                self.assertIn(b" 400 ", sock.recv(100))
+
+    def test_another_user_is_turned_away(self) -> None:
+        other = mock.patch.object(api, "peer", return_value=(1, os.geteuid() + 1))
+        with other, self.assertRaises(AgentRefused) as caught:
+            ask(self.settings.socket, "agent")
+        self.assertEqual(caught.exception.status, 403)
+
+    def test_an_agent_that_does_not_answer_is_one_row(self) -> None:
+        mute = self.folder / "mute.sock"
+        with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as listener:
+            listener.bind(str(mute))
+            listener.listen(8)
+            began = time.monotonic()
+            told = ask_all([self.settings.socket, mute, self.folder / "none"], "agent", patience=0.5)
+            self.assertLess(time.monotonic() - began, 3.0)
+        self.assertEqual([(bool(t.error), t.silent) for t in told], [(False, False), (True, True), (True, True)])
+        with self.assertRaises(AgentSilent):
+            ask(self.folder / "none", "agent", patience=0.2)
+
+    def test_one_agent_a_fleet(self) -> None:
+        lock = take(self.settings.folder)
+        with self.assertRaises(Busy):
+            take(self.settings.folder)
+        os.close(lock)
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,171 @@
+"""The command-line tool against agents that are scripted, silent or not there."""
+
+from __future__ import annotations
+
+import json
+import socket
+import tempfile
+import threading
+import unittest
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+from typer.testing import CliRunner, Result
+
+from juniperward.agent.views import status as status_view
+from juniperward.cli import fleet
+from juniperward.cli.main import app
+from juniperward.cli.shared import console
+from juniperward.net.http import Closed, Stream, encode_response, read_call
+from tests.agent_world import World
+from tests.test_settings import GOOD
+
+
+class ScriptedAgent:
+    """Answers each verb by a function of the call's body."""
+
+    def __init__(self, path: Path, answers: dict[str, Callable[[dict[str, Any]], tuple[int, Any]]]) -> None:
+        self.answers, self.asked = answers, list[tuple[str, dict[str, Any]]]()
+        self.listener = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        self.listener.bind(str(path))
+        self.listener.listen(8)
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self) -> None:
+        while True:
+            try:
+                sock, _ = self.listener.accept()
+            except OSError:
+                return
+            with sock:
+                try:
+                    call = read_call(Stream(sock.recv))
+                except Closed:
+                    continue
+                verb, body = call.path.removeprefix("/v1/"), json.loads(call.body)
+                self.asked.append((verb, body))
+                status, answer = self.answers[verb](body)
+                sock.sendall(encode_response(status, {}, json.dumps(answer).encode(), True))
+
+
+class CliTest(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.world = World()
+        self.world.machines["n2"].stopped = True
+        self.world.run(1.5)
+
+    def agent(self, name: str, **more: Callable[[dict[str, Any]], tuple[int, Any]]) -> Path:
+        path = self.folder / name / "agent.sock"
+        path.parent.mkdir()
+
+        def status(_: dict[str, Any]) -> tuple[int, Any]:
+            return 200, status_view(self.world.reducer.state, self.world.now)
+
+        self.scripted = ScriptedAgent(path, {"status": status, **more})
+        self.addCleanup(self.scripted.listener.close)
+        return path
+
+    def run_tool(self, *words: object) -> Result:
+        console.width = 240
+        return CliRunner().invoke(app, [str(w) for w in words])
+
+    def test_status_shows_every_instance_and_the_silent_agent(self) -> None:
+        one, mute = self.agent("one"), self.folder / "mute.sock"
+        with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as listener:
+            listener.bind(str(mute))
+            listener.listen(8)
+            result = self.run_tool("fleet", "status", "-a", mute, "-a", one, "-t", 0.4)
+            self.assertEqual(result.exit_code, 3, result.output)
+            self.assertIn("no whole answer within 0.4 s", result.output)
+            for text in ("n0", "n1", "n2", "ready", "silent"):
+                self.assertIn(text, result.output)
+            result = self.run_tool("fleet", "status", "-a", mute, "-a", one, "-t", 0.4, "-o", "json")
+        rows = json.loads(result.output)
+        self.assertIsNone(rows[1]["error"])
+        self.assertEqual([r["state"] for r in rows[1]["instances"]], ["ready", "ready", "silent"])
+        self.assertEqual(
+            set(rows[1]["instances"][0]),
+            {"name", "state", "wanted", "why", "pid", "up", "edition", "stale", "crashes", "age", "held", "owing",
+             "calls_out", "slots", "taken_on", "delivered", "calls_failed", "given_up", "turned_away", "sick",
+             "broken", "oldest_held", "journal_bytes", "registry_age"},
+        )  # fmt: skip
+
+    def test_orders_go_to_the_agent_that_has_the_instance(self) -> None:
+        def done(body: dict[str, Any]) -> tuple[int, Any]:
+            return 200, {"done": "drain", "instances": body["names"]}
+
+        one = self.agent("one", drain=done)
+        result = self.run_tool("fleet", "drain", "n1", "-a", one, "-a", self.folder / "none.sock")
+        self.assertEqual((result.exit_code, result.output.strip()), (0, "one: drain: n1"))
+        self.assertEqual(self.scripted.asked[-1], ("drain", {"names": ["n1"], "options": {}}))
+        result = self.run_tool("fleet", "drain", "n7", "-a", one, "-a", self.folder / "none.sock")
+        self.assertEqual(result.exit_code, 3)
+
+    def test_a_refusal_is_told(self) -> None:
+        one = self.agent("one", roll=lambda _: (409, {"error": "roll r1 is under way"}))
+        result = self.run_tool("fleet", "roll", "-a", one)
+        self.assertEqual(result.exit_code, 1)
+
+    def test_a_roll_is_followed_to_its_end_or_pause(self) -> None:
+        def view(mode: str, stage: str) -> dict[str, Any]:
+            step = {"instance": "n0", "stage": stage, "note": "", "before": "a"}
+            return {"id": "r1", "mode": mode, "why": "x", "target": "b", "over": mode == "done", "steps": [step]}
+
+        for last, code in (("done", 0), ("paused", 4)):
+            end = view(last, "done")
+            path = self.agent(
+                last, roll=lambda _: (200, view("going", "draining")), roll_show=lambda _, e=end: (200, e)  # type: ignore[misc]
+            )
+            with mock.patch.object(fleet, "EVERY", 0.0):
+                result = self.run_tool("fleet", "roll", "-a", path)
+            self.assertEqual(result.exit_code, code)
+            self.assertIn(f"roll r1 is {last}", result.output)
+
+    def test_a_dry_run_prints_the_plan(self) -> None:
+        def plan(body: dict[str, Any]) -> tuple[int, Any]:
+            return 200, self.world.ask("roll", **{k: v for k, v in body["options"].items() if v is not None}).body
+
+        one = self.agent("one", roll=plan)
+        result = self.run_tool("fleet", "roll", "--dry-run", "--floor", 1, "-a", one)
+        self.assertEqual(result.exit_code, 0)
+        self.assertLess(result.output.index("n2"), result.output.index("n0"))  # the silent one goes first
+        result = self.run_tool("fleet", "roll", "fly", "-a", one)
+        self.assertEqual(result.exit_code, 2)
+
+    def test_config_is_checked_without_an_agent(self) -> None:
+        (self.folder / "base.json").write_text('{"settings": {}}')
+        file = self.folder / "f.textproto"
+        file.write_text(GOOD.replace("floor: 1", "floor: 2"))
+        result = self.run_tool("config", "check", file)
+        self.assertEqual(result.exit_code, 2)
+        self.assertIn("f.textproto:12: roll.floor: 2 of 2 must stay ready", result.output)
+        rows = json.loads(self.run_tool("config", "check", file, "-o", "json").output)
+        self.assertEqual((rows["faults"][0]["line"], rows["faults"][0]["field"]), (12, "roll.floor"))
+        file.write_text(GOOD)
+        self.assertEqual(self.run_tool("config", "check", file).exit_code, 0)
+        self.assertIn("soak_most: 15", self.run_tool("config", "show", file).output)
+        self.assertIn("message Fleet", self.run_tool("config", "schema").output)
+
+    def test_events_of_several_agents_stand_in_their_order(self) -> None:
+        def events(at: float, text: str) -> Callable[[dict[str, Any]], tuple[int, Any]]:
+            return lambda _: (200, {"events": [{"seq": 1, "at": at, "event": text, "level": "info", "roll": "r1"}]})
+
+        two = self.agent("two", events=events(20.0, "second"))
+        one = self.agent("one", events=events(10.0, "first"))
+        result = self.run_tool("fleet", "events", "-a", two, "-a", one)
+        self.assertLess(result.output.index("first roll=r1"), result.output.index("second"))
+        result = self.run_tool("fleet", "watch", "-a", one, "--seconds", 0.01)
+        self.assertEqual(result.exit_code, 0)
+
+    def test_inspect_shows_what_was_not_answered(self) -> None:
+        body = {"name": "n2", "unanswered": ["status: no answer within 1 s"]}
+        one = self.agent("one", inspect=lambda _: (200, body), logs=lambda _: (200, {"lines": ["a", "b"]}))
+        result = self.run_tool("fleet", "inspect", "n2", "-a", one)
+        self.assertEqual(result.exit_code, 3)
+        self.assertIn("no answer: status", result.output)
+        self.assertEqual(self.run_tool("fleet", "logs", "n2", "-a", one).output, "a\nb\n")
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,121 @@
+"""Settings: a good file, and for each fault the file, the line and the field."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+from google.protobuf import text_format
+
+from juniperward.settings import fleet_pb2
+from juniperward.settings.editions import Editions, edition_of
+from juniperward.settings.load import FleetSettings, SettingsError, load, show
+
+ROOT = Path(__file__).parent.parent
+GOOD = """# a comment
+name: "yard"
+base: "base.json"
+registry: "127.0.0.1:8500"
+instance { name: "n1" listen: "127.0.0.1:8081" }
+instance {
+  name: "n2"
+  listen: "127.0.0.1:8082"
+}
+roll {
+  at_once: 1
+  floor: 1
+}
+"""
+
+
+class SettingsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        (self.folder / "base.json").write_text('{"settings": {}}')
+
+    def load(self, text: str, name: str = "f.textproto") -> FleetSettings:
+        file = self.folder / name
+        file.write_text(text)
+        return load(file)
+
+    def fault(self, text: str, line: int, field: str, why: str) -> None:
+        with self.assertRaises(SettingsError) as caught:
+            self.load(text)
+        found = [(f.line, f.field) for f in caught.exception.faults]
+        self.assertIn((line, field), found, str(caught.exception))
+        self.assertRegex(str(caught.exception), why)
+
+    def test_the_example_is_good(self) -> None:
+        found = load(ROOT / "deploy" / "fleet.textproto")
+        self.assertEqual([i.name for i in found.instances], ["n1", "n2", "n3"])
+        self.assertEqual((found.roll.floor, found.roll.at_once), (2, 1))
+
+    def test_a_good_file_has_its_defaults(self) -> None:
+        found = self.load(GOOD.replace("  floor: 1\n", ""))
+        self.assertEqual(found.roll.floor, 1)  # all but one
+        self.assertEqual(found.folder, self.folder.resolve() / "f.run")
+        self.assertEqual(found.instances[0].config["control"], str(found.folder / "run" / "n1"))
+        again = text_format.Parse(show(found), fleet_pb2.Fleet())
+        self.assertEqual((again.roll.drain, again.instance[1].name), (10.0, "n2"))
+
+    def test_faults_name_their_line_and_field(self) -> None:
+        self.fault(GOOD.replace('"n2"', '"n1"'), 7, "instance[1].name", "n1 is n1's already")
+        self.fault(GOOD.replace("8082", "8081"), 8, "instance[1].listen", "is n1's already")
+        self.fault(GOOD.replace("8082", "x"), 8, "instance[1].listen", "host:port")
+        self.fault(GOOD.replace('"n2"', '"n 2"'), 7, "instance[1].name", "letters, digits")
+        self.fault(GOOD.replace("floor: 1", "floor: 2"), 12, "roll.floor", "no roll can begin")
+        self.fault(GOOD.replace("at_once: 1", "at_once: 0"), 11, "roll.at_once", "above 0")
+        self.fault(GOOD.replace("floor: 1", "soak_share: 1.5"), 12, "roll.soak_share", "from 0 to 1")
+        self.fault(GOOD.replace("floor: 1", "soak: -1"), 12, "roll.soak", "negative")
+        self.fault(GOOD.replace("base.json", "none.json"), 3, "base", "No such file")
+        self.fault(GOOD.replace('registry: "127.0.0.1:8500"\n', ""), 4, "instance[0].registry", "host:port")
+        self.fault('name: "x"', 0, "instance", "one instance at least")
+        long = GOOD.replace('base: ', f'folder: "{"f" * 120}" base: ')
+        self.fault(long, 3, "folder", "Unix socket's path")
+
+    def test_syntax_and_unknown_fields_name_their_line(self) -> None:
+        self.fault(GOOD.replace("  floor", "  flor"), 12, "", 'no field named "flor"')
+        self.fault(GOOD.replace("at_once: 1", "at_once: many"), 11, "", "integer")
+        self.fault(GOOD + "}", 14, "", "f.textproto:14")
+        self.fault(GOOD.replace("base:", 'base: "a" base:'), 3, "", "base")
+
+    def test_all_faults_are_told_at_once(self) -> None:
+        with self.assertRaises(SettingsError) as caught:
+            self.load(GOOD.replace("8082", "x").replace('"n2"', '"?"').replace("floor: 1", "floor: 9"))
+        self.assertEqual(len(caught.exception.faults), 3)
+
+    def test_a_file_that_cannot_be_read_is_told(self) -> None:
+        with self.assertRaisesRegex(SettingsError, "No such file"):
+            load(self.folder / "none")
+        (self.folder / "bad").write_bytes(b"\xff\xfe")
+        with self.assertRaises(SettingsError):
+            load(self.folder / "bad")
+
+    def test_editions_are_kept_and_dropped(self) -> None:
+        editions = Editions(self.folder / "e")
+        first = editions.keep(self.load(GOOD), set())
+        self.assertEqual(first, edition_of(self.load(GOOD)))
+        self.assertEqual(editions.read(first, "n2")["listen"], "127.0.0.1:8082")
+        names = [first]
+        for port in range(9000, 9012):
+            names.append(editions.keep(self.load(GOOD.replace("8082", str(port))), {first}))
+        left = {p.name for p in (self.folder / "e").iterdir()}
+        self.assertIn(first, left)  # in use
+        self.assertIn(names[-1], left)
+        self.assertLess(len(left), 11)
+        with self.assertRaises(OSError):
+            editions.read(first, "n9")
+
+    def test_generated_code_is_not_stale(self) -> None:
+        here = ROOT / "juniperward" / "settings"
+        subprocess.run(
+            [sys.executable, "-m", "grpc_tools.protoc", f"-I{here}", f"--python_out={self.folder}",
+             f"--pyi_out={self.folder}", "fleet.proto"], check=True,
+        )  # fmt: skip
+        for name in ("fleet_pb2.py", "fleet_pb2.pyi"):
+            self.assertEqual((self.folder / name).read_text(), (here / name).read_text(), f"{name} is stale")
