--- a/juniperward/rigs/measure.py
+++ b/juniperward/rigs/measure.py
@@ -90,7 +90,7 @@
     settings: dict[str, dict[str, float]] | None = None,
 ) -> tuple[Verdict, float, list[float]]:  # fmt: skip
     """A load for so long with something done amid it; the verdict, how long that took, the rig's lateness."""
-    with tempfile.TemporaryDirectory(prefix="jw-") as folder:
+    with tempfile.TemporaryDirectory(prefix="jw-") as folder:  # noqa: SIM117
         with Yard(Path(folder), instances, PARTNERS, seed, settings=settings) as yard:
             yard.start()
             clients = yard.clients(rate, seconds, threads=96)
@@ -155,7 +155,7 @@
     kills = stops = done = paused = 0
     restarts: list[float] = []
     settings = {"patience": {"silent": 1.0, "start": 8.0, "stop": 2.0}}
-    with tempfile.TemporaryDirectory(prefix="jw-") as folder:
+    with tempfile.TemporaryDirectory(prefix="jw-") as folder:  # noqa: SIM117
         with Yard(Path(folder), instances, PARTNERS, seed, settings=settings) as yard:
             yard.start()
             stop = threading.Event()
