Keep what is given up in a spool, and have the stand-ins' clients stop waiting for themselves

Need: messages that were given up are to be looked at and sent again. A forwarder with the key kept in its configuration writes each to a spool before its end is written down, remembers what became of resends, and never takes an id that it once said it does not know. Nothing of it is on where the key is absent.

--- a/juniperward/control/client.py
+++ b/juniperward/control/client.py
@@ -10,6 +10,7 @@
 from juniperward.control.protocol import (
     MOST_ANSWER,
     Counters,
+    Fates,
     ProtocolError,
     Request,
     Rows,
@@ -62,32 +63,36 @@
         """Drain, resume or stop; the state right after."""
         return self._typed(verb, Status)
 
-    def _typed(self, verb: Verb, kind: type[T]) -> T:
-        body = self.ask(verb)
+    def fates(self, ids: tuple[str, ...]) -> Fates:
+        """What became of resends; ids that are not known here will never be taken here."""
+        return self._typed(Verb.FATE, Fates, ids)
+
+    def _typed(self, verb: Verb, kind: type[T], ids: tuple[str, ...] = ()) -> T:
+        body = self.ask(verb, ids)
         if not isinstance(body, kind):
             raise ProtocolError(f"{verb.value} was answered with another type")
         return body
 
-    def ask(self, verb: Verb) -> Any:
+    def ask(self, verb: Verb, ids: tuple[str, ...] = ()) -> Any:
         """The body of the answer, within `patience` seconds in all."""
         until = time.monotonic() + self.patience
         fresh = self.sock is None
         try:
-            return self._ask(verb, until)
+            return self._ask(verb, ids, until)
         except Silent:
             # A connection kept from before may belong to a process that is gone: try once on a new one.
             if fresh or time.monotonic() >= until:
                 raise
-            return self._ask(verb, until)
+            return self._ask(verb, ids, until)
 
-    def _ask(self, verb: Verb, until: float) -> Any:
+    def _ask(self, verb: Verb, ids: tuple[str, ...], until: float) -> Any:
         self.last += 1
         try:
             if self.sock is None:
                 self.sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
                 sockets.limit(self.sock, socket.SO_SNDTIMEO, max(until - time.monotonic(), 0.001))
                 self.sock.connect(str(self.path))
-            self.sock.sendall(encode_request(Request(self.last, verb)))
+            self.sock.sendall(encode_request(Request(self.last, verb, ids)))
             answer = decode_answer(read_frame(lambda n: self._exactly(n, until), MOST_ANSWER), verb)
         except (BlockingIOError, TimeoutError) as error:
             self.close()
--- a/juniperward/control/protocol.py
+++ b/juniperward/control/protocol.py
@@ -18,7 +18,8 @@
 from typing import Any, TypeVar
 
 VERSION = 1
-MOST_REQUEST = 4096  # bytes: a request holds three small fields
+MOST_REQUEST = 32 * 1024  # bytes: a request holds a few small fields, and up to MOST_IDS ids
+MOST_IDS = 100
 MOST_ANSWER = 16 * 1024 * 1024  # bytes: thousands of destinations in one
 MOST_OPEN = 4  # arrays and objects in a request: the decoder must not go down far in a small stack
 HEAD = struct.Struct("!I")
@@ -44,6 +45,7 @@
     DRAIN = "drain"
     RESUME = "resume"
     STOP = "stop"
+    FATE = "fate"
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +54,7 @@
 
     id: int
     verb: Verb
+    ids: tuple[str, ...] = ()  # of a `fate`: the resends that are asked about
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,6 +94,8 @@
     calls: int
     calls_failed: int
     broken: int  # invariants that did not hold
+    kept: int = 0  # messages given up and kept
+    kept_failed: int = 0  # given up and not kept, for want of room or by an error
 
     @property
     def owing(self) -> int:
@@ -145,7 +150,27 @@
     workers: tuple[WorkerRow, ...] = ()
 
 
-Body = Status | Rows | Counters
+@dataclass(frozen=True, slots=True)
+class FateRow:
+    """What became of a resend: held, delivered, undeliverable, deferred, or unknown (and never to be taken).
+
+    `ran_at` is the Unix time of its first attempt that may have run.
+    """
+
+    id: str
+    end: str
+    ran_at: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Fates:
+    """The answer to `fate`; of before `complete_since` (Unix time) an unknown id says nothing."""
+
+    complete_since: float
+    fates: tuple[FateRow, ...]
+
+
+Body = Status | Rows | Counters | Fates
 BODIES: dict[Verb, type[Any]] = {
     Verb.STATUS: Status,
     Verb.DESTINATIONS: Rows,
@@ -154,6 +179,7 @@
     Verb.DRAIN: Status,
     Verb.RESUME: Status,
     Verb.STOP: Status,
+    Verb.FATE: Fates,
 }
 
 
@@ -185,7 +211,8 @@
 
 def encode_request(request: Request) -> bytes:
     """A request as a frame."""
-    return frame({"v": VERSION, "id": request.id, "verb": request.verb.value})
+    more = {"ids": request.ids} if request.ids else {}
+    return frame({"v": VERSION, "id": request.id, "verb": request.verb.value, **more})
 
 
 def decode_request(text: bytes) -> Request:
@@ -195,14 +222,17 @@
     try:
         given = json.loads(text)
         version, number, verb = given["v"], given["id"], given["verb"]
-    except (ValueError, KeyError, TypeError) as error:
+        ids = given.get("ids", [])
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise ProtocolError(f"not a request: {type(error).__name__}: {error}") from error
     if version != VERSION:
         raise ProtocolError(f"version {version!r} is not spoken here; {VERSION} is")
     if type(number) is not int or not 0 <= number < 2**53:
         raise ProtocolError("id: a whole number is needed")
+    if not isinstance(ids, list) or len(ids) > MOST_IDS or not all(isinstance(x, str) for x in ids):
+        raise ProtocolError(f"ids: an array of {MOST_IDS} texts at most is needed")
     try:
-        return Request(number, Verb(verb))
+        return Request(number, Verb(verb), tuple(ids))
     except ValueError as error:
         raise ProtocolError(f"verb: no such verb: {verb!r}") from error
 
--- a/juniperward/forwarder/codec.py
+++ b/juniperward/forwarder/codec.py
@@ -9,6 +9,7 @@
 
 from juniperward.forwarder.config import Names
 from juniperward.forwarder.messages import Call
+from juniperward.kept.spool import PREFIX
 from juniperward.net.http import HttpCall, encode_response
 
 PATH = "/api"
@@ -45,7 +46,10 @@
     if found is None:
         raise BadCall("X-Addressing: dest=NUMBER is needed")
     key = headers.get("idempotency-key")
-    return Call(name, cls, tenant, int(found[1]), left, key, asked.body)
+    ran = headers.get("x-kept-ran")
+    if ran is not None and (not SECONDS.fullmatch(ran) or not name.startswith(PREFIX)):
+        raise BadCall("X-Kept-Ran: seconds are needed, and the id of a resend")
+    return Call(name, cls, tenant, int(found[1]), left, key, asked.body, float(ran) if ran is not None else None)
 
 
 def encode_reply(status: int, retry_after: float, close: bool, text: str = "") -> bytes:
--- a/juniperward/forwarder/config.py
+++ b/juniperward/forwarder/config.py
@@ -54,6 +54,8 @@
     settings: Settings
     names: Names
     known: News
+    spool: Path | None = None  # where messages that are given up are kept; they are not without it
+    spool_bytes: int = 0
     control: Path | None = None  # the control channel's socket; none is opened without it
 
 
@@ -137,9 +139,21 @@
         names=names,
         known=read_news(given["known"], names),
         control=_control(given.get("control")),
+        **_spool(given.get("kept")),
     )
 
 
+def _spool(value: Any) -> dict[str, Any]:
+    if value is None:
+        return {}
+    if not isinstance(value, dict) or not str(value.get("spool", "")).startswith("/"):
+        raise ValueError("kept: an object with the absolute path `spool` is needed")
+    size = value.get("max_bytes", 50_000_000)
+    if not isinstance(size, int) or isinstance(size, bool) or size <= 0:
+        raise ValueError(f"kept: max_bytes: a number above 0 is needed, not {size!r}")
+    return {"spool": Path(value["spool"]), "spool_bytes": size}
+
+
 def _control(value: Any) -> Path | None:
     if value is None:
         return None
--- a/juniperward/forwarder/journal.py
+++ b/juniperward/forwarder/journal.py
@@ -49,9 +49,11 @@
 def encode(record: Record, to_unix: float) -> bytes:
     """One line of the journal."""
     match record:
-        case Taken(call=c, expires=expires):
+        case Taken(call=c, expires=expires, ran_at=ran_at):
             body = base64.b64encode(c.body).decode()
             row: list[Any] = ["taken", c.id, c.cls, c.tenant, c.destination, c.key, expires + to_unix, body]
+            if ran_at is not None:
+                row.append(ran_at + to_unix)
         case Began(id=name, at=at, worker=worker):
             row = ["began", name, at + to_unix, worker]
         case Ended(id=name, may_have_run=may):
@@ -72,9 +74,9 @@
             return None
         kind, name, *rest = json.loads(text)
         match kind, rest:
-            case "taken", [cls, tenant, destination, key, expires, body]:
+            case "taken", [cls, tenant, destination, key, expires, body, *ran]:
                 call = Call(name, cls, tenant, destination, 0.0, key, base64.b64decode(body))
-                return Taken(call, expires - to_unix)
+                return Taken(call, expires - to_unix, ran[0] - to_unix if ran else None)
             case "began", [at, worker]:
                 return Began(name, at - to_unix, worker)
             case "ended", [may]:
@@ -96,8 +98,10 @@
 
     def apply(self, record: Record) -> None:
         match record:
-            case Taken(call=call, expires=expires):
-                self.open[call.id] = Restored(call, expires)
+            case Taken(call=call, expires=expires, ran_at=ran_at):
+                # A resend's earlier life comes first in its history: the window of repeats counts from there.
+                before = (Delegated("", ran_at),) if ran_at is not None else ()
+                self.open[call.id] = Restored(call, expires, before)
             case Over(id=name):
                 self.open.pop(name, None)
             case Decided(notice=notice):
--- a/juniperward/forwarder/loop.py
+++ b/juniperward/forwarder/loop.py
@@ -8,9 +8,10 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from juniperward.control.protocol import Answer, Status
+from juniperward.control.protocol import Answer, Fates, Status
 from juniperward.forwarder.counters import count, log, trouble
 from juniperward.forwarder.journal import Journal, JournalFull
+from juniperward.forwarder.keeping import Keeper
 from juniperward.forwarder.messages import (
     Abandon,
     Append,
@@ -24,9 +25,11 @@
     Event,
     ForgetWorker,
     Hold,
+    Keep,
     MoveTo,
     Notify,
     Record,
+    Remember,
     Reply,
     Say,
     TakeOn,
@@ -61,6 +64,7 @@
         self.tell: Callable[[int, Answer], None] = lambda client, answer: None  # of the control channel
         self.end_process: Callable[[], None] = lambda: None
         self.name, self.started = "", 0.0
+        self.keeper: Keeper | None = None
 
     def post(self, event: Event) -> None:
         """Any thread may call this, and a signal's handler."""
@@ -144,6 +148,12 @@
                 log("module", text)
             case Tell(client=client, answer=answer):
                 self.tell(client, self._complete(answer))
+            case Keep():
+                if self.keeper is not None:
+                    self.keeper.keep(effect)
+            case Remember():
+                if self.keeper is not None:
+                    self.keeper.remember(effect)
             case Doors(open=is_open):
                 self.server.doors(is_open)
             case EndProcess():
@@ -151,6 +161,8 @@
 
     def _complete(self, answer: Answer) -> Answer:
         """Put in what the reducer does not know: names, and how large the journal is."""
+        if isinstance(answer.body, Fates) and self.keeper is not None:
+            return replace(answer, body=self.keeper.fates(answer.body))
         if not isinstance(answer.body, Status):
             return answer
         j = self.journal
--- a/juniperward/forwarder/messages.py
+++ b/juniperward/forwarder/messages.py
@@ -25,6 +25,7 @@
     time_left: float
     key: str | None
     body: bytes
+    ran: float | None = None  # of a resend: seconds since it first may have run, in an earlier life
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +72,7 @@
 
     call: Call
     expires: float
+    ran_at: float | None = None  # of a resend: when it first may have run, before it was handed in
 
 
 @dataclass(frozen=True, slots=True)
@@ -358,6 +360,36 @@
     text: str
 
 
+@dataclass(frozen=True, slots=True)
+class Tried:
+    """One attempt of a message that is given up."""
+
+    worker: str
+    at: float
+    outcome: str
+    may_have_run: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Keep:
+    """Keep a message that is given up, before its end is written down; `workers` are its destination's."""
+
+    call: Call
+    since: float
+    at: float
+    attempts: tuple[Tried, ...]
+    workers: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Remember:
+    """Write down what became of a resend, before its end is."""
+
+    id: str
+    end: str
+    ran_at: float | None
+
+
 @dataclass(frozen=True, slots=True)
 class Tell:
     """Answer a client of the control channel."""
@@ -380,5 +412,6 @@
 
 Effect = (
     TakeOn | Reply | Append | Delegate | Abandon | CloseIdle | Bar | ForgetWorker | Hold | WatchFrom | MoveTo
-    | Notify | Wake | Say | Tell | Doors | EndProcess
+    | Notify | Wake | Say | Tell | Doors | EndProcess | Keep
+    | Remember
 )
--- a/juniperward/forwarder/reducer.py
+++ b/juniperward/forwarder/reducer.py
@@ -12,7 +12,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from juniperward.control.protocol import Answer, Verb
+from juniperward.control.protocol import Answer, FateRow, Fates, Verb
 from juniperward.forwarder import telling
 from juniperward.forwarder.counters import count, holds, trouble
 from juniperward.forwarder.messages import (
@@ -37,6 +37,7 @@
     Handed,
     Heard,
     Hold,
+    Keep,
     ModuleTimer,
     Moved,
     MoveTo,
@@ -45,6 +46,7 @@
     Notify,
     Over,
     Parcel,
+    Remember,
     Replayed,
     Reply,
     Restored,
@@ -55,11 +57,13 @@
     Tell,
     TimeUp,
     TookOn,
+    Tried,
     Wake,
     WatchFrom,
     WatchLost,
     Worker,
 )
+from juniperward.kept.spool import PREFIX
 from nickelscale import Sender
 from nickelscale import interface as i
 
@@ -79,6 +83,9 @@
     since: float  # when it came into this process
     attempts: int = 0
     out: int | None = None  # number of the delegation that carries it
+    began_at: float = 0.0  # of the latest attempt
+    ran_at: float | None = None  # when it first may have run
+    story: list[Tried] = field(default_factory=list)  # its attempts, where messages are kept
 
 
 @dataclass(slots=True, eq=False)
@@ -115,13 +122,18 @@
     open_until: float = 0.0
     stop_at: float | None = None
     draining: bool = False
+    fenced: set[str] = field(default_factory=set)  # resends that were told unknown: never to be taken
 
 
 class Reducer:
     """Drives the module; the only place where the forwarder's state changes."""
 
-    def __init__(self, settings: i.Settings, seed: int) -> None:
+    def __init__(
+        self, settings: i.Settings, seed: int, keeps: bool = False, kept: frozenset[str] = frozenset()
+    ) -> None:
         self.settings = settings
+        self.keeps = keeps  # what is given up is kept
+        self.kept = kept  # messages that an earlier life kept, and may not have written down as over
         self.sender = Sender(settings, seed)
         self.state = State()
         self.effects: list[Effect] = []
@@ -199,6 +211,11 @@
             self.effects += [Doors(not s.draining), Say(f"control: {verb.value}")]
         elif verb is Verb.STOP and s.stop_at is None:
             self.effects.append(EndProcess())
+        if verb is Verb.FATE:
+            rows = tuple(FateRow(x, "held" if x in s.numbers else "unknown") for x in e.request.ids)
+            s.fenced.update(r.id for r in rows if r.end == "unknown")
+            self.effects.append(Tell(e.client, Answer(e.request.id, Fates(0.0, rows))))
+            return
         body = telling.answer(verb, self.state, self.settings, self.sender, now)
         self.effects.append(Tell(e.client, Answer(e.request.id, body)))
 
@@ -211,6 +228,10 @@
             count("handed_in_twice")
             self.effects.append(Reply(e.client, 202))
             return
+        if e.call.id in s.fenced:
+            count("overload_replies_fenced")
+            self.effects.append(Reply(e.client, 503, DOOR_WAIT))
+            return
         if e.call.destination not in s.destinations:
             # The list is seconds old: one that it will name shortly must not be final for its client.
             count("overload_replies_unknown")
@@ -224,9 +245,11 @@
             return
         s.last_message += 1
         held = Held(s.last_message, e.call, e.at + e.call.time_left, now)
+        if e.call.ran is not None:
+            held.ran_at, held.attempts = e.at - e.call.ran, 1
         s.offered[held.number] = held
         s.numbers[e.call.id] = held.number
-        self.effects.append(TakeOn(e.client, held.number, Taken(e.call, held.expires)))
+        self.effects.append(TakeOn(e.client, held.number, Taken(e.call, held.expires, held.ran_at)))
 
     def _took_on(self, now: float, number: int, told: bool) -> None:
         s = self.state
@@ -241,7 +264,8 @@
         holds(len(s.held) <= self.settings.max_open, "no_more_held_than_max_open")
         c = held.call
         left = max(held.expires - now, 0.0)
-        self.news.append(i.Arrived(number, c.cls, c.destination, left, c.tenant, c.key))
+        history = (i.Tried(0, held.ran_at),) if held.ran_at is not None else ()
+        self.news.append(i.Arrived(number, c.cls, c.destination, left, c.tenant, c.key, history=history))
 
     def _restore(self, now: float, r: Restored) -> None:
         s = self.state
@@ -249,11 +273,18 @@
         if r.notice is not None:
             self._owe(r.notice)
             return
-        if r.expires <= now:
-            self._give_up(r.call.id, None)
-            return
         s.last_message += 1
         held = Held(s.last_message, r.call, r.expires, now, len(r.history))
+        held.ran_at = min((d.at for d in r.history if d.may_have_run), default=None)
+        if self.keeps:
+            held.story = [
+                Tried(d.worker, d.at, "unknown" if d.may_have_run else "never_ran", d.may_have_run)
+                for d in r.history
+            ]
+        if r.expires <= now or r.call.id in self.kept:
+            # One that is kept was given up; its end is what the kill cut off.
+            self._give_up(held, now, None)
+            return
         s.held[held.number] = held
         s.numbers[r.call.id] = held.number
         history = tuple(
@@ -289,10 +320,18 @@
         over = end.over or end.outcome is i.Outcome.OK
         if held is not None:
             held.out = None
+            if not end.outcome.never_ran and not over and held.ran_at is None:
+                held.ran_at = held.began_at
+            if self.keeps:
+                may = not end.outcome.never_ran
+                held.story.append(Tried(worker.id, held.began_at, end.outcome.name.lower(), may))
             if end.outcome is i.Outcome.OK:
                 count("delivered")
             if over:
                 self._forget(held)
+                if self.keeps and held.call.id.startswith(PREFIX):
+                    name = "delivered" if end.outcome is i.Outcome.OK else "undeliverable"
+                    self.effects.append(Remember(held.call.id, name, held.ran_at))
                 self.effects.append(Append(Over(held.call.id)))
             else:
                 self.effects.append(Append(Ended(held.call.id, not end.outcome.never_ran)))
@@ -325,9 +364,16 @@
         del self.state.held[held.number]
         del self.state.numbers[held.call.id]
 
-    def _give_up(self, name: str, again: float | None) -> None:
+    def _give_up(self, held: Held, now: float, again: float | None) -> None:
         count("given_up_failed" if again is None else "given_up_refused")
-        notice = Notice(name, again)
+        notice = Notice(held.call.id, again)
+        if self.keeps and held.call.id.startswith(PREFIX):
+            end = "undeliverable" if again is None else "deferred"
+            self.effects.append(Remember(held.call.id, end, held.ran_at))
+        elif self.keeps and again is None and held.call.id not in self.kept:
+            s, c = self.state, held.call
+            workers = sorted(w.id for w in s.workers.values() if w.destination == c.destination)
+            self.effects.append(Keep(c, held.since, now, tuple(held.story), tuple(workers)))
         self.effects.append(Append(Decided(notice)))
         self._owe(notice)
 
@@ -352,9 +398,9 @@
                 case i.Send():
                     sends.setdefault(a.endpoint, []).append(a)
                 case i.Refuse(message=number, retry_after=again):
-                    self._final(number, again)
+                    self._final(now, number, again)
                 case i.Fail(message=number):
-                    self._final(number, None)
+                    self._final(now, number, None)
                 case i.Cancel(message=number):
                     self._cancel(now, number)
                 case i.SetTimer(delay=delay, token=token):
@@ -371,12 +417,12 @@
         for worker, asked in sends.items():
             self._delegate(now, worker, asked)
 
-    def _final(self, number: int, again: float | None) -> None:
+    def _final(self, now: float, number: int, again: float | None) -> None:
         """The message is over. A delegation that is still out goes on to its own end."""
         held = self.state.held.get(number)
         if held is not None:
             self._forget(held)
-            self._give_up(held.call.id, again)
+            self._give_up(held, now, again)
         else:
             holds(False, "one_final_answer")
 
@@ -415,7 +461,7 @@
             holds(held.call.destination == w.destination, "only_to_its_destination")
             out.waiting[a.message] = held.attempts
             held.attempts += 1
-            held.out = out.number
+            held.out, held.began_at = out.number, now
             parcels.append(Parcel(a.message, held.call))
             self.effects.append(Append(Began(held.call.id, now, w.id)))
             self.effects.append(Wake(now + a.timeout, TimeUp(out.number, a.message)))
--- a/juniperward/forwarder/start.py
+++ b/juniperward/forwarder/start.py
@@ -13,6 +13,7 @@
 from juniperward.forwarder.config import Config, ConfigError, load
 from juniperward.forwarder.counters import count, log, report, trouble
 from juniperward.forwarder.journal import Journal, take_folder
+from juniperward.forwarder.keeping import Keeper
 from juniperward.forwarder.loop import Loop
 from juniperward.forwarder.messages import Asked, Heard, Replayed, Stop
 from juniperward.forwarder.reducer import Reducer
@@ -20,6 +21,7 @@
 from juniperward.forwarder.reload import Reloader
 from juniperward.forwarder.server import LEAVING, Server
 from juniperward.forwarder.workers import Workers
+from juniperward.kept.spool import Spool
 
 if TYPE_CHECKING:
     from juniperward.control.server import ControlServer
@@ -34,8 +36,14 @@
     """Put the parts together; the journal is replayed and nothing runs yet."""
     loop_started = time.time()
     journal = Journal(config.state, config.disk_bytes, time.time() - time.monotonic())
-    reducer = Reducer(config.settings, config.seed)
+    keeper = None
+    if config.spool is not None:
+        spool = Spool(config.spool, config.spool_bytes)
+        keeper = Keeper(spool, config.settings, config.names, journal.to_unix)
+    kept = frozenset(keeper.spool.ids) if keeper is not None else frozenset()
+    reducer = Reducer(config.settings, config.seed, keeper is not None, kept)
     loop = Loop(reducer, journal)
+    loop.keeper = keeper
     loop.name, loop.started = config.name, loop_started
     slots = config.settings.slots
     loop.server = Server(config.listen, config.names, max(config.sockets // 2 - LEAVING, 16), loop.post)
--- a/juniperward/forwarder/telling.py
+++ b/juniperward/forwarder/telling.py
@@ -62,6 +62,7 @@
         calls=c.get("delegations", 0),
         calls_failed=sum(c.get(f"delegations_{x}", 0) for x in FAILED),
         broken=sum(v for k, v in c.items() if k.startswith("broken_")),
+        kept=c.get("kept", 0), kept_failed=c.get("kept_failed", 0),
     )  # fmt: skip
 
 
--- /dev/null
+++ b/juniperward/kept/__init__.py
@@ -0,0 +1,1 @@
+"""Messages that were given up: kept, looked at, and sent again by rule."""
--- /dev/null
+++ b/juniperward/kept/spool.py
@@ -0,0 +1,259 @@
+"""The spool between a forwarder and its agent: what was given up, and what became of resends. Standard library only.
+
+A forwarder appends to segments `00000001.kept`, …: a line a message, with a checksum as in the journal. A new
+process begins a new segment. The agent reads segments in order and says in the file `acked` which of them are in
+its store; only the forwarder deletes, after it has read at a start which messages the segments name. So neither
+needs the other to run, a segment is never gone before both have seen it, and one that is read twice says the same.
+
+The file `fates` has the end of each resend, for the agent to ask for: an end that is not written down here before
+the message is over could only be guessed later.
+"""
+
+from __future__ import annotations
+
+import base64
+import contextlib
+import json
+import os
+import time
+import zlib
+from collections.abc import Iterator
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from typing import Any
+
+SEGMENT = 1_000_000  # bytes of a segment before the next one is begun
+MOST_FATES = 100_000  # ends remembered; beyond it the oldest half is forgotten, and `complete_since` says so
+PREFIX = "kept-"  # of the ids of resends
+
+_encode = json.JSONEncoder(separators=(",", ":")).encode
+
+
+class SpoolFull(OSError):
+    """The spool has all the bytes that the settings give it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """One attempt of a message; `at` is Unix time."""
+
+    worker: str
+    at: float
+    outcome: str
+    may_have_run: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Kept:
+    """A message that was given up, whole; times are Unix time, by the forwarder's clock."""
+
+    id: str
+    cls: str
+    account: str
+    destination: int
+    key: str | None
+    body: bytes
+    taken_at: float
+    given_up_at: float
+    attempts: tuple[Attempt, ...]
+    effect: str  # of its class: repeatable, by_key or once
+    window: float  # seconds for which its partner drops a repeat
+    workers: tuple[str, ...]  # those that the list had for its destination then: who the number meant
+
+
+@dataclass(frozen=True, slots=True)
+class Fate:
+    """What became of a resend: delivered, undeliverable or deferred, and when it first may have run."""
+
+    end: str
+    ran_at: float | None = None
+
+
+def line(value: Any) -> bytes:
+    """One checked line."""
+    text = _encode(value).encode()
+    return b"%08x %s\n" % (zlib.crc32(text), text)
+
+
+def unline(data: bytes) -> Any:
+    """The value of a line, or None for one that is damaged."""
+    try:
+        total, text = data.split(b" ", 1)
+        return json.loads(text) if int(total, 16) == zlib.crc32(text) else None
+    except ValueError:
+        return None
+
+
+def encode(kept: Kept) -> bytes:
+    """A message as a line of a segment."""
+    row = asdict(kept)
+    row["body"] = base64.b64encode(kept.body).decode()
+    return line(row)
+
+
+def decode(data: bytes) -> Kept | None:
+    """The message of a line, or None for one that is damaged or not ours."""
+    row = unline(data)
+    try:
+        row["body"] = base64.b64decode(row["body"])
+        row["attempts"] = tuple(Attempt(**a) for a in row["attempts"])
+        row["workers"] = tuple(row["workers"])
+        return Kept(**row)
+    except (TypeError, KeyError, ValueError):
+        return None
+
+
+def segments(folder: Path) -> list[tuple[int, Path]]:
+    """All segments, the oldest first."""
+    found = []
+    with contextlib.suppress(FileNotFoundError):
+        for path in folder.glob("*.kept"):
+            if path.stem.isdigit():
+                found.append((int(path.stem), path))
+    return sorted(found)
+
+
+def read(path: Path, offset: int) -> Iterator[tuple[Kept | None, int]]:
+    """Messages of a segment from an offset on, each with the offset behind it; None for a damaged line.
+
+    A last line without its end is not given: it is being written, or was torn; the next read tells.
+    """
+    with open(path, "rb") as file:
+        file.seek(offset)
+        for data in file:
+            if not data.endswith(b"\n"):
+                return
+            offset += len(data)
+            yield decode(data[:-1]), offset
+
+
+def acked(folder: Path) -> int:
+    """The last segment that the agent has taken in whole; 0 where it has none."""
+    try:
+        return int((folder / "acked").read_text())
+    except (FileNotFoundError, ValueError):
+        return 0
+
+
+def ack(folder: Path, number: int) -> None:
+    """Say that all segments up to this one are in the store."""
+    fresh = folder / "acked.new"
+    fresh.write_text(str(number))
+    os.replace(fresh, folder / "acked")
+
+
+class Spool:
+    """The forwarder's end; used by its loop only."""
+
+    def __init__(self, folder: Path, most_bytes: int) -> None:
+        folder.mkdir(mode=0o700, parents=True, exist_ok=True)
+        self.folder, self.most = folder, most_bytes
+        done = acked(folder)
+        self.ids: set[str] = set()  # that the segments name: a message among them was given up already
+        found = segments(folder)
+        for number, path in found:
+            self.ids.update(k.id for k, _ in read(path, 0) if k is not None)
+            if number <= done:
+                path.unlink()
+        self.number = found[-1][0] if found else done
+        self.bytes = sum(p.stat().st_size for _, p in segments(folder))
+        self.file = -1
+        self.size = 0
+        self.fates: dict[str, Fate] = {}
+        self.complete_since = time.time()
+        self._load_fates()
+
+    def keep(self, kept: Kept) -> None:
+        """Write a message down; raises OSError (SpoolFull among them), and then nothing of it is kept."""
+        if kept.id in self.ids:
+            return
+        data = encode(kept)
+        if self.bytes + len(data) > self.most:
+            self.drop_acked()
+        if self.bytes + len(data) > self.most:
+            raise SpoolFull(28, f"the spool has its {self.most} bytes")
+        if self.file < 0 or self.size > SEGMENT:
+            self._next()
+        start = self.size
+        try:
+            _write(self.file, data)
+        except OSError:
+            # What was written of it must not stand in front of the next line.
+            with contextlib.suppress(OSError):
+                os.ftruncate(self.file, start)
+            raise
+        self.size += len(data)
+        self.bytes += len(data)
+
+    def remember(self, name: str, fate: Fate) -> None:
+        """Write down what became of a resend; the first end that is known of it stays. Raises OSError."""
+        if name in self.fates:
+            return
+        _write(self.fate_file, line([name, fate.end, fate.ran_at]))
+        self.fates[name] = fate
+        if len(self.fates) > MOST_FATES:
+            self._forget_fates()
+
+    def drop_acked(self) -> None:
+        """Delete segments that the agent has, but for the one that is open."""
+        done = acked(self.folder)
+        for number, path in segments(self.folder):
+            if number <= done and (number != self.number or self.file < 0):
+                self.bytes -= path.stat().st_size
+                path.unlink()
+
+    def close(self) -> None:
+        """Let go of the files."""
+        for file in (self.file, self.fate_file):
+            if file >= 0:
+                os.close(file)
+
+    def _next(self) -> None:
+        if self.file >= 0:
+            os.close(self.file)
+            self.file = -1
+            self.drop_acked()
+        self.number += 1
+        path = self.folder / f"{self.number:08d}.kept"
+        self.file = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC, 0o600)
+        self.size = 0
+
+    def _load_fates(self) -> None:
+        path = self.folder / "fates"
+        good = b""
+        with contextlib.suppress(FileNotFoundError):
+            for data in path.read_bytes().split(b"\n"):
+                row = unline(data)
+                if isinstance(row, float | int):
+                    self.complete_since = float(row)
+                elif isinstance(row, list) and len(row) == 3:
+                    self.fates.setdefault(row[0], Fate(row[1], row[2]))
+                else:
+                    continue
+                good += data + b"\n"
+        if not good:
+            good = line(self.complete_since)
+        self._rewrite_fates(good)
+
+    def _rewrite_fates(self, data: bytes) -> None:
+        fresh = self.folder / "fates.new"
+        fresh.write_bytes(data)
+        os.replace(fresh, self.folder / "fates")
+        old = getattr(self, "fate_file", -1)
+        if old >= 0:
+            os.close(old)
+        flags = os.O_WRONLY | os.O_APPEND | os.O_CLOEXEC
+        self.fate_file = os.open(self.folder / "fates", flags)
+
+    def _forget_fates(self) -> None:
+        for name in list(self.fates)[: MOST_FATES // 2]:
+            del self.fates[name]
+        self.complete_since = time.time()
+        rows = [line(self.complete_since), *(line([n, f.end, f.ran_at]) for n, f in self.fates.items())]
+        self._rewrite_fates(b"".join(rows))
+
+
+def _write(file: int, data: bytes) -> None:
+    view = memoryview(data)
+    while view:
+        view = view[os.write(file, view) :]
--- a/juniperward/standins/clients.py
+++ b/juniperward/standins/clients.py
@@ -15,6 +15,7 @@
 import time
 from dataclasses import dataclass, field
 
+from juniperward.net import sockets
 from juniperward.net.http import Broken, Closed, Malformed, Stream, encode_call, read_response
 from juniperward.standins.records import Handed, Heard, Recorder, now
 
@@ -201,19 +202,17 @@
     ) -> tuple[socket.socket, Stream] | None:
         link = kept.get(forwarder)
         if link is not None:
-            try:
-                if link[0].recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b"":
-                    raise ConnectionResetError
-            except BlockingIOError:
+            if sockets.quiet(link[0]):
                 return link
-            except OSError:
-                link[0].close()
-                del kept[forwarder]
+            link[0].close()
+            del kept[forwarder]
+        # Time limits are the kernel's: with one of Python's own, a look without waiting waits for all of it.
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
-            sock = socket.create_connection(self.front.forwarders[forwarder], ANSWER)
+            sockets.connect(*self.front.forwarders[forwarder], ANSWER, sock)
         except OSError:
+            sock.close()
             return None
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         kept[forwarder] = (sock, Stream(sock.recv))
         return kept[forwarder]
 
@@ -232,7 +231,7 @@
         )
         status, again, close = 0, 0.0, True
         try:
-            sock.settimeout(ANSWER)
+            sockets.limit(sock, socket.SO_RCVTIMEO, ANSWER)
             sock.sendall(encode_call("POST", "/api", "api.internal", headers, BODY))
             answer = read_response(stream)
             status, close = answer.status, answer.close
--- /dev/null
+++ b/tests/test_standins.py
@@ -0,0 +1,151 @@
+"""The stand-ins themselves: a rig that is late, or a partner that is too kind, would judge wrongly."""
+
+from __future__ import annotations
+
+import socket
+import threading
+import time
+import unittest
+
+from juniperward.net.http import Stream, encode_call, encode_response, read_response
+from juniperward.standins.clients import Clients, Front, Traffic
+from juniperward.standins.partners import Partner, PartnerSpec
+from juniperward.standins.records import Called, Effect, Handed, Heard, Recorder, Replied, Told
+from juniperward.standins.registry import Registry
+from juniperward.standins.serving import Serving
+
+
+class ClientsTest(unittest.TestCase):
+    def run_clients(self, *statuses: int, count: float = 40.0) -> tuple[Recorder, Clients]:
+        answers = list(statuses)
+        lock = threading.Lock()
+
+        def handle(link, asked, began):  # type: ignore[no-untyped-def]
+            if asked.path == "/health/ready":
+                return link.write(encode_response(200, {}, b"", False))
+            with lock:
+                status = answers.pop(0) if answers else 202
+            if status == 0:
+                return False
+            headers = {"Retry-After": "0.010"} if status == 503 else {}
+            return link.write(encode_response(status, headers, b"", False))
+
+        door = Serving(handle)
+        door.start()
+        self.addCleanup(door.stop)
+        front = Front({"n0": ("127.0.0.1", door.port)})
+        recorder = Recorder()
+        clients = Clients(Traffic(count, backoff=0.01), front, recorder, 1, threads=2)
+        clients.start(1.0)
+        self.assertTrue(clients.done.wait(20.0))
+        return recorder, clients
+
+    def test_a_kept_connection_is_used_again_without_a_wait(self) -> None:
+        # Guards the rig's own pace: a look at a socket with one of Python's time-outs waited for all of it, so
+        # two threads handed in five messages a second, and every latency was the rig's.
+        recorder, clients = self.run_clients()
+        self.assertLess(sorted(clients.lateness)[len(clients.lateness) // 2], 0.1)
+        self.assertGreater(len(clients.lateness), 20)
+        taken = [r for r in recorder.records if isinstance(r, Heard)]
+        self.assertEqual({r.status for r in taken}, {202})
+
+    def test_a_refused_message_comes_once_more_with_its_key_and_a_fresh_id(self) -> None:
+        recorder, _ = self.run_clients(503, 0, 503, 503, count=4.0)
+        handed = [r for r in recorder.records if isinstance(r, Handed)]
+        by_first: dict[str, list[Handed]] = {}
+        for h in handed:
+            by_first.setdefault(h.first, []).append(h)
+        self.assertTrue(any(len(tries) == 2 for tries in by_first.values()))
+        for tries in by_first.values():
+            self.assertLessEqual(len(tries), 2)
+            self.assertEqual(len({h.key for h in tries}), 1)
+            self.assertEqual(len({h.id for h in tries}), len(tries))
+            self.assertEqual(len({h.expires for h in tries}), 1)
+
+
+class PartnerTest(unittest.TestCase):
+    def partner(self, **more: object) -> Partner:
+        self.recorder = Recorder()
+        spec = PartnerSpec(1, latency=0.001, tells_wait=1.0, **more)  # type: ignore[arg-type]
+        partner = Partner(spec, self.recorder, 1)
+        partner.start()
+        self.addCleanup(partner.close)
+        return partner
+
+    def call(self, partner: Partner, name: str, key: str | None = None, worker: int = 0) -> tuple[int, float]:
+        with socket.create_connection(("127.0.0.1", partner.doors[worker].port), 5.0) as sock:
+            headers = {"X-Correlation-Id": name, "Idempotency-Key": key or name}
+            sock.sendall(encode_call("POST", "/receive", "x", headers, b""))
+            answer = read_response(Stream(sock.recv))
+            return answer.status, float(answer.headers.get("retry-after", 0.0))
+
+    def test_a_repeat_takes_no_second_effect_inside_the_window(self) -> None:
+        partner = self.partner(window=0.2)
+        self.assertEqual([self.call(partner, f"m{n}", "k")[0] for n in range(3)], [200, 200, 200])
+        self.assertEqual(sum(isinstance(r, Effect) for r in self.recorder.records), 1)
+        partner.done["k"] -= 1.0  # its window is over
+        self.call(partner, "m4", "k")
+        self.assertEqual(sum(isinstance(r, Effect) for r in self.recorder.records), 2)
+
+    def test_its_rate_is_for_all_its_workers_and_tells_a_wait(self) -> None:
+        partner = self.partner(rate=3.0)
+        found = [self.call(partner, f"m{n}", worker=n % 2) for n in range(4)]
+        self.assertEqual([s for s, _ in found], [200, 200, 200, 429])
+        self.assertTrue(0 < found[3][1] <= 1.0)
+
+    def test_outages_and_a_cold_return(self) -> None:
+        partner = self.partner(at_once=10)
+        partner.trouble("shut", 5.0)
+        status, wait = self.call(partner, "a")
+        self.assertEqual(status, 429)
+        self.assertTrue(4.0 < wait <= 5.0)
+        partner.trouble("failing")
+        self.assertEqual(self.call(partner, "b")[0], 500)
+        partner.trouble("down")
+        with self.assertRaises(OSError):
+            self.call(partner, "c")
+        partner.trouble("well")
+        self.assertLess(partner.present(), 0.3 * partner.spec.capacity)
+        self.assertEqual(self.call(partner, "d")[0], 200)
+        partner.back_at = time.monotonic() - 11.0
+        self.assertEqual(partner.present(), partner.spec.capacity)
+
+    def test_pushed_too_hard_while_cold_it_falls_over(self) -> None:
+        partner = self.partner(rate=4.0)
+        partner.back_at = time.monotonic()
+        for n in range(40):
+            self.call(partner, f"m{n}")
+        self.assertTrue(partner.fallen)
+        self.assertEqual(self.call(partner, "z")[0], 503)
+
+    def test_a_call_is_recorded_whole(self) -> None:
+        partner = self.partner()
+        self.call(partner, "m", "k")
+        called, effect, replied = self.recorder.records
+        assert isinstance(called, Called) and isinstance(effect, Effect) and isinstance(replied, Replied)
+        self.assertEqual((called.worker, called.ids, called.keys), ("s-1-0", ("m",), ("k",)))
+        self.assertLessEqual(called.began, called.at)
+        self.assertEqual((effect.key, replied.states), ("k", ("ok",)))
+
+
+class RegistryTest(unittest.TestCase):
+    def test_a_watch_hears_the_list_then_changes_and_each_is_recorded(self) -> None:
+        recorder = Recorder()
+        registry = Registry(recorder)
+        self.addCleanup(registry.close)
+        partner = Partner(PartnerSpec(1), recorder, 1)
+        registry.put(*partner.entries())
+        host, port = registry.door("n0").split(":")
+        with socket.create_connection((host, int(port)), 5.0) as sock:
+            sock.sendall(encode_call("GET", "/registry/instances?follow=1&since=0", "x", {}, None))
+            lines = sock.makefile("rb")
+            text = b""
+            while b'"full": true' not in text:
+                text = lines.readline()
+            registry.put(*partner.entries("Terminating", 0))
+            while b"Terminating" not in text:
+                text = lines.readline()
+        while len(told := [r for r in recorder.records if isinstance(r, Told)]) < 3:
+            time.sleep(0.01)
+        self.assertEqual(told[-1].state, "Terminating")
+        self.assertEqual({t.forwarder for t in told}, {"n0"})
