--- a/juniperward/agent/api.py
+++ b/juniperward/agent/api.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import os
+import pwd
 import socket
 import struct
 import threading
@@ -20,6 +21,7 @@
 import structlog
 
 from juniperward.agent import processes
+from juniperward.agent.kept import KeptService
 from juniperward.agent.loop import Loop
 from juniperward.agent.messages import Asked
 from juniperward.control.client import ControlClient, Refused, Silent
@@ -46,6 +48,14 @@
     options: dict[str, Any] = {}
 
 
+def _user(uid: int) -> str:
+    """The name of a user, as the audit trail has it."""
+    try:
+        return pwd.getpwuid(uid).pw_name
+    except KeyError:
+        return f"uid {uid}"
+
+
 class Waiting:
     """A client that waits for the loop."""
 
@@ -75,6 +85,7 @@
         self.closed = False
         self.began = time.time()
         loop.reply = self.answer
+        self.kept: KeptService | None = None
 
     def start(self) -> None:
         """Begin to accept."""
@@ -127,7 +138,7 @@
                 except Malformed as error:
                     self._write(sock, error.status, {"error": str(error)}, True)
                     return
-                status, body = self._handle(asked)
+                status, body = self._handle(asked, uid)
                 self._write(sock, status, body, asked.close)
                 if asked.close:
                     return
@@ -145,7 +156,7 @@
         headers = {"Content-Type": "application/json"}
         sock.sendall(encode_response(status, headers, msgspec.json.encode(body), close))
 
-    def _handle(self, asked: HttpCall) -> tuple[int, dict[str, Any]]:
+    def _handle(self, asked: HttpCall, uid: int) -> tuple[int, dict[str, Any]]:
         verb = asked.path.removeprefix("/v1/")
         if asked.method != "POST" or verb == asked.path:
             return 404, {"error": "use POST /v1/VERB"}
@@ -173,6 +184,10 @@
             case "reload":
                 body = self.reload(0)
                 return (400 if "error" in body else 200), body
+            case "kept":
+                if self.kept is None:
+                    return 404, {"error": "nothing is kept: the settings have no kept { on: true }"}
+                return self.kept.answer(q.options, _user(uid))
             case "agent":
                 return 200, self._agent()
             case "shutdown":
--- a/juniperward/agent/messages.py
+++ b/juniperward/agent/messages.py
@@ -31,6 +31,7 @@
     return Instance(
         i.name, i.wanted, i.process, i.started_at if i.process else 0.0, i.edition,
         was_ready=i.was_ready, drain=i.drain, exit=i.exit, crashes=i.crashes,
+        stopping_since=i.stopping_since if i.process else None,
     )  # fmt: skip
 
 
--- a/juniperward/agent/reducer.py
+++ b/juniperward/agent/reducer.py
@@ -152,16 +152,23 @@
         for i in d.instances:
             if i.process is not None and i.name not in running:
                 # It ended while nobody looked; how is not known, and is held against nobody.
-                i = replace(i, process=None, was_ready=False, exit="ended while no agent looked")
+                i = replace(
+                    i, process=None, was_ready=False, stopping_since=None, exit="ended while no agent looked"
+                )
             instances = instances.set(i.name, i)
         for name, (process, at) in running.items():
             i = instances.get(name, Instance(name, Wanted.RUNNING))
             # An edition that was never written down belongs to a start that was under way.
             same = i.process == process
+            if not same:
+                i = replace(i, stopping_since=None)
             edition = i.edition if same else self._goal(d.roll, name) or i.edition
             instances = instances.set(
                 name, replace(i, process=process, started_at=at, edition=edition, was_ready=same and i.was_ready)
             )
+            if same and i.stopping_since is not None:
+                # Told to end: told again, as that may not have reached it, and killed at the time set before.
+                self.effects.append(Signal(name, process, signals.SIGTERM))
             self.effects.append(Watch(name, process))
             self.effects.append(Note("adopted", {"instance": name, "pid": process.pid}))
         self.state = replace(
--- a/juniperward/agent/start.py
+++ b/juniperward/agent/start.py
@@ -15,11 +15,16 @@
 import structlog
 
 from juniperward.agent.api import Api
+from juniperward.agent.kept import KeptService
 from juniperward.agent.log import configure
 from juniperward.agent.loop import Loop
 from juniperward.agent.messages import Asked
 from juniperward.agent.store import Store
 from juniperward.control.protocol import ControlError
+from juniperward.fleet.decisions import phase
+from juniperward.fleet.model import Phase, Reading
+from juniperward.kept.resender import ResendRules
+from juniperward.kept.store import StoreError
 from juniperward.settings.load import FleetSettings, SettingsError, load
 
 STACK = 512 * 1024  # bytes for each thread; structlog and msgspec go deeper than the forwarder's own code
@@ -50,6 +55,31 @@
         self.lock = take(settings.folder)
         self.loop = Loop(settings, Store(settings.folder), secrets.randbits(64))
         self.api = Api(settings.socket, self.loop, self.reload, self.shutdown)
+        self.kept: KeptService | None = None
+        if settings.kept is not None:
+            self._keep(settings.kept)
+
+    def _keep(self, rules: ResendRules) -> None:
+        """Begin to look after kept messages; raises StoreError."""
+        self.kept = KeptService(self.loop.settings.folder, rules, self._names, self._ready)
+        self.kept.note = self.loop.note
+        self.api.kept = self.kept
+
+    def _names(self) -> list[str]:
+        return list(self.loop.reducer.state.instances)
+
+    def _ready(self) -> dict[str, tuple[tuple[str, int], Reading]]:
+        """Instances that take messages: where, and what they last said. The state is a value, read at once."""
+        s = self.loop.reducer.state
+        addresses = {i.name: i.listen for i in self.loop.settings.instances}
+        found = {}
+        for name, i in s.instances.items():
+            if name not in addresses or i.reading is None:
+                continue
+            if phase(i, time.monotonic(), s.rules.patience) is Phase.READY:
+                host, _, port = addresses[name].rpartition(":")
+                found[name] = ((host, int(port)), i.reading)
+        return found
 
     def reload(self, _: int = 0) -> dict[str, Any]:
         """Read the settings again; what cannot be used changes nothing and is told."""
@@ -65,6 +95,8 @@
             self.loop.note("settings stay as they were", "warning", {"why": str(error)})
             return {"error": str(error)}
         self.loop.post(event)
+        if settings.kept is not None and self.kept is not None:
+            self.kept.configure(settings.kept)
         return {"edition": event.edition}
 
     def shutdown(self, instances: bool) -> None:
@@ -85,12 +117,16 @@
         """Take up what was left, serve, and end; signals are the caller's business."""
         self.loop.begin()
         self.api.start()
+        if self.kept is not None:
+            self.kept.start()
         s = self.loop.settings
         self.loop.note("agent serves", "info", {"fleet": s.name, "socket": str(s.socket)})
         try:
             self.loop.run()
         finally:
             self.api.close()
+            if self.kept is not None:
+                self.kept.ended.set()
             self.loop.note("agent ended", "info", {"fleet": s.name})
             os.close(self.lock)
 
@@ -110,7 +146,7 @@
     threading.stack_size(STACK)
     try:
         agent = Agent(settings)
-    except (Busy, ControlError, OSError) as error:
+    except (Busy, ControlError, StoreError, OSError) as error:
         structlog.get_logger().error("cannot start", why=str(error))
         return 1
 
--- a/juniperward/agent/store.py
+++ b/juniperward/agent/store.py
@@ -11,6 +11,7 @@
 
 from juniperward.agent.messages import Durable
 from juniperward.agent.processes import boot_id
+from juniperward.fleet.model import Crashes
 
 VERSION = 1
 
@@ -78,7 +79,7 @@
         if header.boot != boot_id():
             # The machine was started anew: no process of before runs, and no time of before means anything.
             instances = tuple(
-                replace(i, process=None, started_at=0.0, was_ready=False, crashes=type(i.crashes)())
+                replace(i, process=None, started_at=0.0, was_ready=False, stopping_since=None, crashes=Crashes())
                 for i in durable.instances
             )
             roll = durable.roll
--- a/juniperward/cli/main.py
+++ b/juniperward/cli/main.py
@@ -7,7 +7,7 @@
 
 import typer
 
-from juniperward.cli import config, fleet
+from juniperward.cli import config, fleet, kept
 
 app = typer.Typer(
     name="juniperward",
@@ -19,6 +19,7 @@
 app.add_typer(agent, name="agent")
 app.add_typer(fleet.app, name="fleet")
 app.add_typer(config.app, name="config")
+app.add_typer(kept.app, name="kept")
 
 
 @agent.command("run")
--- a/juniperward/fleet/roll.py
+++ b/juniperward/fleet/roll.py
@@ -225,9 +225,9 @@
     up = ready(fleet, now, patience)
     active = {s.name for s in roll.steps if s.stage in ACTIVE}
     why = ""
-    for s in roll.steps:
-        if s.stage is not Stage.WAITING:
-            continue
+    waiting = [s for s in roll.steps if s.stage is Stage.WAITING]
+    waiting.sort(key=lambda s: s.name in up)  # what is away by now costs nothing, and may be what holds the floor
+    for s in waiting:
         if len(active) >= roll.rules.at_once:
             break
         i = fleet.get(s.name)
--- a/juniperward/forwarder/reducer.py
+++ b/juniperward/forwarder/reducer.py
@@ -63,6 +63,7 @@
     WatchLost,
     Worker,
 )
+from juniperward.kept.decisions import custody
 from juniperward.kept.spool import PREFIX
 from nickelscale import Sender
 from nickelscale import interface as i
@@ -365,9 +366,12 @@
         del self.state.numbers[held.call.id]
 
     def _give_up(self, held: Held, now: float, again: float | None) -> None:
+        resend = held.call.id.startswith(PREFIX)
+        if self.keeps and not resend and custody(held.expires - now, again):
+            again = None  # it is kept: its client must not bring it a second time
         count("given_up_failed" if again is None else "given_up_refused")
         notice = Notice(held.call.id, again)
-        if self.keeps and held.call.id.startswith(PREFIX):
+        if self.keeps and resend:
             end = "undeliverable" if again is None else "deferred"
             self.effects.append(Remember(held.call.id, end, held.ran_at))
         elif self.keeps and again is None and held.call.id not in self.kept:
--- a/juniperward/kept/decisions.py
+++ b/juniperward/kept/decisions.py
@@ -12,9 +12,22 @@
 from enum import StrEnum
 
 MARGIN = 0.25  # seconds kept clear of a window's end
+TRIAL = 3.0  # seconds between resends that try a destination which no live message tries
+STALE = 10.0  # seconds after which a pace begins anew
+LAST = 0.5  # seconds of its own time in which a client has nothing more to try
 LEAST_LEFT = 0.5  # seconds of a window that must be left for a resend to be begun
 
 
+def custody(left: float, again: float | None) -> bool:
+    """Whether a message that is given up is kept, and its client told not to come again.
+
+    Both together or neither: a client that comes again while its message is kept would have it sent twice. One
+    that was told a time to come again before its message's own time is over keeps it; one for which nothing
+    would be left of that time (`left` seconds are) has nothing more to try.
+    """
+    return again is None or left <= max(again, LAST)
+
+
 class Kind(StrEnum):
     """What is known of whether a message has taken effect."""
 
@@ -197,6 +210,7 @@
     at: float = 0.0
     tokens: float = 0.0
     cut_at: float = -math.inf
+    trial_at: float = -math.inf
     why: str = "not looked at yet"
 
 
@@ -206,14 +220,21 @@
     A destination that any instance holds to trials or warms up gets nothing: it is cold, and what the forwarders
     allow it is for live traffic. A wait that any was told binds all. Live messages that wait for it go first.
     """
+    if now - pace.at > STALE:
+        pace = Pace(cut_at=pace.cut_at, trial_at=pace.trial_at)  # what it could take then says nothing of now
     passed = min(max(now - pace.at, 0.0), 1.0) if pace.at else 0.0
     if not sights:
-        return Pace(0.0, now, 0.0, pace.cut_at, "no instance answers")
+        return Pace(0.0, now, 0.0, pace.cut_at, pace.trial_at, "no instance answers")
     cold = [s.health for s in sights if s.health in ("failing", "warming")]
     if cold:
-        return Pace(0.0, now, 0.0, pace.cut_at, f"it is {cold[0]}")
+        # Nobody probes: with no live message for it, an outage would never be seen to end. One resend at a time
+        # may be what the forwarders try it with; when they do is theirs to say.
+        still = all(s.waiting == 0 for s in sights) and "warming" not in cold
+        if still and now - pace.trial_at >= TRIAL:
+            return Pace(0.0, now, 1.0, pace.cut_at, now, "it is failing; one goes to try it")
+        return Pace(0.0, now, 0.0, pace.cut_at, pace.trial_at, f"it is {cold[0]}")
     if any(s.wait > 0 for s in sights):
-        return Pace(pace.rate * rules.cut, now, 0.0, now, "a wait was told")
+        return Pace(pace.rate * rules.cut, now, 0.0, now, pace.trial_at, "a wait was told")
     rating = max(s.rating for s in sights)
     most = min(rules.most, rules.share_of_rate * rating if rating > 0 else math.inf)
     rate = max(pace.rate, min(rules.first, most))
@@ -225,9 +246,9 @@
         rate += rules.step * passed
     rate = min(rate, most)
     if sum(s.waiting for s in sights) > sum(s.slots for s in sights):
-        return Pace(rate, now, 0.0, cut_at, "live messages wait for it")
+        return Pace(rate, now, 0.0, cut_at, pace.trial_at, "live messages wait for it")
     tokens = min(pace.tokens + rate * passed, max(rate, 1.0))
-    return Pace(rate, now, tokens, cut_at, f"{rate:.1f} a second")
+    return Pace(rate, now, tokens, cut_at, pace.trial_at, f"{rate:.1f} a second")
 
 
 def spend(pace: Pace, count: int) -> Pace:
--- a/juniperward/kept/resender.py
+++ b/juniperward/kept/resender.py
@@ -16,6 +16,7 @@
 from juniperward.kept.decisions import (
     Clock,
     Facts,
+    Judgement,
     Kind,
     Pace,
     PaceRules,
@@ -31,7 +32,9 @@
 from juniperward.kept.handin import HandIn
 from juniperward.kept.store import Claim, Filter, KeptStore, Lost
 
-PAGE = 500  # messages looked at for one destination in a round
+PAGE = 500  # messages looked at at once
+PAGES = 4  # of them for one destination in a round
+MOST_WINDOW = 3600.0  # seconds; no class has a longer window of repeats
 HELD = "held"
 
 
@@ -104,6 +107,7 @@
         self.paces: dict[int, Pace] = {}
         self.refused: set[int] = set()  # destinations whose resend came back refused since the last look
         self.turn = 0
+        self.places: dict[int, tuple[float, str]] = {}  # how far each destination was looked through
 
     def round(self) -> Round:
         """Do all that can be done now."""
@@ -158,45 +162,62 @@
 
     def _begin(self, done: Round, now: float, steady: float) -> None:
         waiting = self.store.destinations()
+        wished = self.store.destinations(wished=True)
         room = may_have_out(self.world.slots(), self.rules.pace) - done.open
         for destination in sorted(waiting, key=lambda d: (d + self.turn) % 1009):
+            if not self.rules.rules and destination not in wished:
+                continue  # nobody wants any of them sent
             pace = look(
                 self.paces.get(destination, Pace()), self.world.sights(destination), destination in self.refused,
                 steady, self.rules.pace,
             )  # fmt: skip
             self.refused.discard(destination)
-            while pace.tokens >= 1 and room > 0:
-                facts = self._next(destination, now)
-                if facts is None:
-                    break
-                begun = self._send(facts, now)
-                if begun is None:
-                    break
-                pace, room = spend(pace, 1), room - 1
-                done.begun += 1
-                if not begun:
-                    break
+            if (most := min(int(pace.tokens), room)) > 0:
+                for facts in self._candidates(destination, most, now):
+                    begun = self._send(facts, now)
+                    if begun is None:
+                        break
+                    pace, room = spend(pace, 1), room - 1
+                    done.begun += 1
+                    if not begun:
+                        break
             self.paces[destination] = pace
         for gone in set(self.paces) - set(waiting):
             del self.paces[gone]
+            self.places.pop(gone, None)
         self.turn += 1
 
-    def _next(self, destination: int, now: float) -> Facts | None:
-        """The message to go next: what a window is closing on first, then the oldest."""
+    def _candidates(self, destination: int, most: int, now: float) -> list[Facts]:
+        """Messages that may go and are wanted: those a window is closing on first, then the oldest.
+
+        A few pages are looked at in a round, and the next round goes on behind them: what cannot go must not
+        hide what can.
+        """
         listed = self.world.workers(destination)
-        best: tuple[float, float, Facts] | None = None
-        after = (-1.0, "")
-        while True:
-            page = self.store.facts(Filter(stand="kept", destination=destination), PAGE, after)
-            for f in page:
-                if not wanted_by(f, self.rules.rules, now):
-                    continue
-                judged = judge(f, now, listed, self.rules.allowance)
-                if judged.may_go and (best is None or (judged.until, f.given_up_at) < best[:2]):
-                    best = (judged.until, f.given_up_at, f)
-            if best is not None or len(page) < PAGE:
-                return best[2] if best is not None else None
-            after = (page[-1].given_up_at, page[-1].id)
+        closing = Filter(stand="kept", destination=destination, ran_since=now - MOST_WINDOW)
+        found = [(j.until, f) for f, j in self._judged(self.store.facts(closing, PAGE), listed, now)]
+        found.sort(key=lambda x: (x[0], x[1].given_up_at))
+        chosen = [f for _, f in found]
+        place = self.places.get(destination, (-1.0, ""))
+        for _ in range(PAGES):
+            if len(chosen) >= most:
+                break
+            page = self.store.facts(Filter(stand="kept", destination=destination), PAGE, place)
+            known = {f.id for f in chosen}
+            chosen += [f for f, _ in self._judged(page, listed, now) if f.id not in known]
+            if len(page) < PAGE:
+                place = (-1.0, "")
+                break
+            if len(chosen) < most:
+                place = (page[-1].given_up_at, page[-1].id)
+        self.places[destination] = place
+        return chosen[:most]
+
+    def _judged(
+        self, page: list[Facts], listed: frozenset[str] | None, now: float
+    ) -> list[tuple[Facts, Judgement]]:
+        judged = [(f, judge(f, now, listed, self.rules.allowance)) for f in page]
+        return [(f, j) for f, j in judged if j.may_go and wanted_by(f, self.rules.rules, now)]
 
     def _send(self, facts: Facts, now: float) -> bool | None:
         """Claim it and hand it in; whether it was taken or may have been, None where nothing could be begun."""
--- a/juniperward/kept/store.py
+++ b/juniperward/kept/store.py
@@ -54,6 +54,7 @@
     """
     ALTER TABLE message ADD COLUMN wished TEXT;
     ALTER TABLE message ADD COLUMN partner_sure INTEGER NOT NULL DEFAULT 0;
+    CREATE INDEX message_ran ON message (stand, destination, ran_at);
     CREATE INDEX message_wished ON message (wished) WHERE wished IS NOT NULL;
     """,
 )
@@ -96,6 +97,7 @@
     since: float | None = None  # given up at or after
     until: float | None = None
     wished: bool | None = None
+    ran_since: float | None = None  # first may have run at or after
 
     def sql(self) -> tuple[str, list[Any]]:
         """A condition and its values."""
@@ -114,13 +116,16 @@
         if self.until is not None:
             parts.append("given_up_at < ?")
             values.append(self.until)
+        if self.ran_since is not None:
+            parts.append("ran_at >= ?")
+            values.append(self.ran_since)
         if self.wished is not None:
             parts.append("wished IS NOT NULL" if self.wished else "wished IS NULL")
         return " AND ".join(parts) or "1", values
 
 
 def resend_id(message: str, number: int) -> str:
-    """The id of a message's n-th resend: the same for whoever makes it."""
+    """The id of a message's resend with this fence: the same for whoever makes it."""
     return f"{PREFIX}{hashlib.sha256(message.encode()).hexdigest()[:20]}-{number}"
 
 
@@ -271,12 +276,11 @@
                 _audit(db, who, "showed the body", message)
         return bytes(row[0]) if row is not None else None
 
-    def destinations(self, stands: tuple[str, ...] = ("kept",)) -> dict[int, int]:
-        """How many messages each destination has in these stands."""
+    def destinations(self, wished: bool = False) -> dict[int, int]:
+        """How many messages are kept for each destination, or how many of them people want sent."""
+        more = " AND wished IS NOT NULL" if wished else ""
         rows = self.db.execute(
-            f"SELECT destination, count(*) FROM message WHERE stand IN ({','.join('?' * len(stands))})"
-            " GROUP BY destination",
-            stands,
+            f"SELECT destination, count(*) FROM message WHERE stand = 'kept'{more} GROUP BY destination"
         )
         return {r[0]: r[1] for r in rows}
 
@@ -300,10 +304,11 @@
             row = db.execute("SELECT stand, fence, resends, ran_at FROM message WHERE id = ?", (message,)).fetchone()
             if row is None or row["stand"] != Stand.KEPT or (fence is not None and row["fence"] != fence):
                 raise Lost(f"{message} is {row['stand'] if row is not None else 'not here'}")
-            new, number = row["fence"] + 1, row["resends"] + 1
-            name = resend_id(message, number)
+            new = row["fence"] + 1
+            name = resend_id(message, new)
             db.execute(
-                "UPDATE message SET stand = 'claimed', fence = ?, resends = ? WHERE id = ?", (new, number, message)
+                "UPDATE message SET stand = 'claimed', fence = ?, resends = ? WHERE id = ?",
+                (new, row["resends"] + 1, message),
             )
             db.execute(
                 "INSERT INTO resend (id, message, fence, forwarder, claimed_at, by) VALUES (?,?,?,?,?,?)",
@@ -335,9 +340,11 @@
                 raise Lost(f"{claim.resend} is settled already")
             stand = Stand.DELIVERED if end == "delivered" else Stand.KEPT
             ran = min((t for t in (row["ran_at"], ran_at) if t is not None), default=None)
-            wished = "" if end in ("refused", "never taken") else ", wished = NULL"
+            # One that cannot have reached the partner is none that counts, and the wish for it stands.
+            nothing = end != "delivered" and (ran_at is None or ran_at == row["ran_at"])
+            more = ", resends = resends - 1" if nothing else ", wished = NULL"
             db.execute(
-                f"UPDATE message SET stand = ?, ran_at = ?{wished} WHERE id = ?", (stand, ran, claim.message)
+                f"UPDATE message SET stand = ?, ran_at = ?{more} WHERE id = ?", (stand, ran, claim.message)
             )
             _audit(db, "agent", end, claim.message, claim.resend)
 
--- a/juniperward/rigs/measure.py
+++ b/juniperward/rigs/measure.py
@@ -24,6 +24,7 @@
 from juniperward.agent.client import AgentSilent
 from juniperward.control.client import ControlClient, Refused, Silent
 from juniperward.control.protocol import ProtocolError, Request, Verb, encode_request
+from juniperward.fleet.model import Process
 from juniperward.rigs.yard import ROOT, Yard, machine
 from juniperward.standins.checker import Verdict
 from juniperward.standins.clients import ready
@@ -153,6 +154,7 @@
     )
     dice = random.Random(seed)
     kills = stops = done = paused = 0
+    stopped: Process | None = None
     restarts: list[float] = []
     settings = {"patience": {"silent": 1.0, "start": 8.0, "stop": 2.0}}
     with tempfile.TemporaryDirectory(prefix="jw-") as folder:  # noqa: SIM117
@@ -185,10 +187,9 @@
                     yard.ask("roll_resume")
                 if dice.random() < 0.25:
                     ready_ones = [r for r in status["instances"] if r["state"] == "ready"]
-                    silent = [r for r in status["instances"] if r["state"] == "silent"]
-                    if ready_ones and not silent:
-                        os.kill(dice.choice(ready_ones)["pid"], signal.SIGSTOP)
-                        stops += 1
+                    if ready_ones and (stopped is None or not processes.alive(stopped)):
+                        stopped = processes.identify(dice.choice(ready_ones)["pid"])
+                        stops += stopped is not None and processes.send(stopped, signal.SIGSTOP)
                 time.sleep(dice.uniform(0.05, 1.5))
                 yard.kill_agent()
                 kills += 1
--- a/juniperward/rigs/yard.py
+++ b/juniperward/rigs/yard.py
@@ -88,6 +88,7 @@
         self.front = Front(self.addresses)
         self.sets = settings or {}
         self.base = json.loads(json.dumps(BASE))
+        self.keep: fleet_pb2.Kept | None = None
         self.watching = True
         self.pids: dict[str, int] = {}
         self.events_at = 0
@@ -114,6 +115,8 @@
             "roll": {"drain": 6.0, "soak": 0.5, "soak_most": 3.0, "least_calls": 5, "patience": 8.0},
             "restart": {"first": 0.2, "most": 2.0},
         }
+        if self.keep is not None:
+            fleet.kept.CopyFrom(self.keep)
         for part, values in [*parts.items(), *self.sets.items(), *more.items()]:
             for name, value in values.items():
                 setattr(getattr(fleet, part), name, value)
--- a/juniperward/settings/load.py
+++ b/juniperward/settings/load.py
@@ -12,12 +12,14 @@
 from google.protobuf import text_format
 
 from juniperward.fleet.model import Patience, RestartRules, RollRules
+from juniperward.kept.decisions import PaceRules, Rule
+from juniperward.kept.resender import ResendRules
 from juniperward.settings import fleet_pb2
 
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9_-]{0,31}")
 MOST_PATH = 107  # bytes of a Unix socket's path on Linux
 MOST_INSTANCES = 1000
-PARTS = re.compile(r"^(restart|patience|roll|logs)\.")
+PARTS = re.compile(r"^(restart|patience|roll|logs|kept)\.(?:(pace)\.)?")
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,6 +71,7 @@
     log_bytes: int
     log_keep: int
     log_json: bool | None
+    kept: ResendRules | None = None  # None: nothing is kept
 
 
 def load(file: Path) -> FleetSettings:
@@ -142,6 +145,11 @@
             tokens.TryConsume(";")
 
 
+def _indexed(found: re.Match[str]) -> str:
+    """The parts of a field's name as the lines are indexed."""
+    return "".join(f"{part}[0]." for part in found.groups() if part)
+
+
 class _Checker:
     """Goes through a parsed file once and gathers what is wrong with it."""
 
@@ -154,7 +162,7 @@
 
     def fault(self, field: str, text: str) -> None:
         """Note a fault at a field, or where that is absent at what should hold it."""
-        place, line = PARTS.sub(r"\1[0].", field), 0
+        place, line = PARTS.sub(_indexed, field), 0
         while place and not line:
             line = self.lines.get(place, 0)
             place = place.rpartition(".")[0]
@@ -188,29 +196,71 @@
             m.logs.bytes if m.logs.HasField("bytes") else 10_000_000,
             m.logs.keep if m.logs.HasField("keep") else 3,
             m.logs.json if m.logs.HasField("json") else None,
+            self.kept(m.kept) if m.kept.on else None,
         )  # fmt: skip
         if self.faults:
             raise SettingsError(self.faults)
         return settings
 
-    def rules(self, field: str, given: Any, kind: type[Any]) -> dict[str, Any]:
-        """The set fields of a part, each within its bounds."""
+    def rules(self, field: str, given: Any, kind: type[Any], skip: bool = False) -> dict[str, Any]:
+        """The set fields of a part, each within its bounds; with `skip`, only numbers are looked at."""
         found: dict[str, Any] = {}
         known = {f.name for f in fields(kind)}
         for descriptor, value in given.ListFields():
             name = descriptor.name
             place = f"{field}.{name}"
-            share = name in ("jitter", "soak_share", "fall")
+            if skip and (not isinstance(value, int | float) or isinstance(value, bool)):
+                continue
+            share = name in ("jitter", "soak_share", "fall", "cut", "share_of_rate", "share_of_slots")
             if not value >= 0 or value == float("inf"):
                 self.fault(place, f"must not be negative or endless, not {value:g}")
             elif share and value > 1:
                 self.fault(place, f"a share is needed, from 0 to 1, not {value:g}")
             elif value == 0 and name in ("at_once", "first", "start", "stop", "silent", "crashes", "window"):
                 self.fault(place, "must be above 0")
-            assert name in known, name
+            assert skip or name in known, name
             found[name] = value
         return found
 
+    def kept(self, given: Any) -> ResendRules:
+        """What is kept and sent again."""
+        self.rules("kept", given, ResendRules, skip=True)
+        pace = PaceRules(**self.rules("kept.pace", given.pace, PaceRules))
+        rules = [self.rule(n, r) for n, r in enumerate(given.rule)]
+        names = [r.name for r in rules]
+        for n, name in enumerate(names):
+            if not NAME.fullmatch(name):
+                self.fault(f"kept.rule[{n}].name", f"1 to 32 letters, digits, '-' and '_' are needed, not {name!r}")
+            elif name in names[:n]:
+                self.fault(f"kept.rule[{n}].name", f"{name} stands twice")
+        defaults = ResendRules()
+        set_ = {d.name: v for d, v in given.ListFields()}
+        time_left: dict[str, float] = {}
+        for base in self.bases.values():
+            for c in base.get("settings", {}).get("Services", []):
+                own = float(c["DeadlineMs"]) / 1000
+                time_left[c["Name"]] = min(set_.get("time_left", own), own)
+        return ResendRules(
+            tuple(rules), pace, set_.get("allowance", defaults.allowance), time_left,
+            set_.get("most_days", 30.0) * 86400.0, set_.get("most", defaults.most),
+            set_.get("most_bytes", defaults.most_bytes),
+        )  # fmt: skip
+
+    def rule(self, number: int, given: Any) -> Rule:
+        """One rule of resends."""
+        place = f"kept.rule[{number}]"
+        set_ = {d.name: v for d, v in given.ListFields()}
+        for name in ("from_hour", "to_hour"):
+            if not 0 <= set_.get(name, 0) <= 24:
+                self.fault(f"{place}.{name}", f"an hour of the day is needed, from 0 to 24, not {set_[name]:g}")
+        if set_.get("least_age", 0) > set_.get("most_age", float("inf")):
+            self.fault(f"{place}.most_age", "below least_age: no message is ever of such an age")
+        plain = {k: v for k, v in set_.items() if k not in ("destination", "class", "account", "name")}
+        return Rule(
+            given.name, frozenset(given.destination), frozenset(getattr(given, "class")), frozenset(given.account),
+            **plain,
+        )  # fmt: skip
+
     def once(self, name: str, values: list[Any]) -> None:
         first: dict[Any, int] = {}
         for n, value in enumerate(values):
@@ -245,6 +295,9 @@
             **base, "name": given.name, "listen": given.listen, "discovery": registry, "state": str(state),
             "control": str(control),
         }  # fmt: skip
+        if self.message.kept.on:
+            size = self.message.kept.spool_bytes if self.message.kept.HasField("spool_bytes") else 50_000_000
+            config["kept"] = {"spool": str(folder / "spool" / given.name), "max_bytes": size}
         config.setdefault("known", {"version": 0, "full": True, "servers": []})
         return InstanceSettings(given.name, given.listen, state, control, given.stopped, config)
 
--- a/tests/test_agent_reducer.py
+++ b/tests/test_agent_reducer.py
@@ -271,6 +271,20 @@
         world.begin()
         self.assertTrue(world.run(3.0, lambda: world.ready() == 3))
 
+    def test_the_time_to_kill_outlasts_the_agent(self) -> None:
+        # Guards rolls whose agent is killed again and again: each new one began to count anew, and one that
+        # was stopped by SIGSTOP was never killed.
+        world = World()
+        world.machines["n0"].stopped = True
+        world.ask("stop", "n0")
+        for _ in range(6):
+            world.run(0.5)
+            world.begin()
+        self.assertNotIn("n0", world.machines)
+        world.run(3.0)
+        world.ask("start", "n0")
+        self.assertTrue(world.run(5.0, lambda: world.ready() == 3))
+
     def test_a_reused_pid_is_not_adopted(self) -> None:
         world = World()
         i = world.reducer.state.instances["n1"]
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -293,16 +293,26 @@
     def test_a_loss_elsewhere_that_breaks_the_floor_pauses_and_a_resume_goes_on(self) -> None:
         model = Model(4)
         roll = model.run(model.plan(patience=5.0), 0.2)
-        model.mute.add("n3")
+        model.fleet["n3"] = replace(model.fleet["n3"], wanted=Wanted.STOPPED, stopping_since=model.now)
         roll = model.run(roll, until=Mode.PAUSED)
         self.assertIn("the floor is 3", roll.why)
-        model.mute.clear()
+        model.fleet["n3"] = replace(model.fleet["n3"], wanted=Wanted.RUNNING)
+        model.start("n3", "b")
         for _ in range(4):
             model.tick()
         self.assertEqual(model.run(resume(roll)).mode, Mode.DONE)
         with self.assertRaises(Impossible):
             resume(roll if roll.over else replace(roll, mode=Mode.DONE))
 
+    def test_what_falls_away_amid_a_roll_is_taken_next(self) -> None:
+        # Guards the floor: a silent instance late in the plan kept all before it waiting for ever.
+        model = Model(4)
+        roll = model.run(model.plan(floor=3, patience=60.0), 0.2)
+        model.mute.add("n3")
+        roll = model.run(roll)
+        self.assertEqual(roll.mode, Mode.DONE)
+        self.assertEqual({i.edition for i in model.fleet.values()}, {"b"})
+
     def test_one_stopped_by_order_is_left_out(self) -> None:
         model = Model(3)
         roll = model.run(model.plan(floor=0), 0.2)
--- /dev/null
+++ b/tests/test_keeping.py
@@ -0,0 +1,291 @@
+"""A forwarder that keeps what is given up, and real fleets that send it again."""
+
+from __future__ import annotations
+
+import os
+import signal
+import tempfile
+import threading
+import time
+import unittest
+from pathlib import Path
+from typing import Any
+
+from juniperward.agent.client import AgentSilent, ask
+from juniperward.control.protocol import Fates, Request, Verb
+from juniperward.forwarder.journal import Journal
+from juniperward.forwarder.keeping import Keeper
+from juniperward.forwarder.messages import (
+    Append,
+    Asked,
+    Call,
+    Decided,
+    Effect,
+    Handed,
+    Heard,
+    Keep,
+    Notify,
+    Remember,
+    Replayed,
+    Reply,
+    Taken,
+    TakeOn,
+    Tell,
+    TookOn,
+    Tried,
+    Worker,
+)
+from juniperward.forwarder.reducer import Reducer
+from juniperward.kept.spool import Fate, Spool, read, segments
+from juniperward.rigs.yard import Yard
+from juniperward.settings import fleet_pb2
+from juniperward.standins.partners import PartnerSpec
+from juniperward.standins.records import Handed as HandedRecord
+from juniperward.standins.records import Heard as HeardRecord
+from nickelscale.interface import Arrived, Phase
+from nickelscale.interface import Tried as ModuleTried
+from tests.helpers import KEYED, settings
+from tests.player import Player, Program
+
+WORKER = Worker("s-1", "127.0.0.1", 81, 7, Phase.READY, 0, 0, 0.0)
+
+
+class ReducerTest(unittest.TestCase):
+    def reducer(self, keeps: bool = True, kept: frozenset[str] = frozenset()) -> Reducer:
+        made = Reducer(settings(KEYED), 1, keeps, kept)
+        made.reduce(100.0, [Heard(1, True, (WORKER,), known=True)])
+        return made
+
+    def take(self, reducer: Reducer, name: str = "a", ran: float | None = None) -> list[Effect]:
+        effects = reducer.reduce(100.0, [Handed(5, Call(name, 0, 0, 7, 20.0, "k", b"x", ran), 100.0)])
+        (take_on,) = [e for e in effects if isinstance(e, TakeOn)]
+        return reducer.reduce(100.0, [TookOn(take_on.message, True)])
+
+    def give_up(self, reducer: Reducer) -> list[Effect]:
+        reducer.effects = []
+        reducer._final(110.0, 1, None)
+        return reducer.effects
+
+    def test_it_is_kept_before_its_end_is_written_down(self) -> None:
+        reducer = self.reducer()
+        self.take(reducer)
+        keep, decided, notify = self.give_up(reducer)
+        assert isinstance(keep, Keep) and isinstance(decided, Append) and isinstance(notify, Notify)
+        self.assertEqual((keep.call.id, keep.since, keep.at, keep.workers), ("a", 100.0, 110.0, ("s-1",)))
+        self.assertIsInstance(decided.record, Decided)
+
+    def test_nothing_is_kept_where_it_is_off_or_the_client_may_come_again(self) -> None:
+        reducer = self.reducer(keeps=False)
+        self.take(reducer)
+        self.assertEqual([type(e) for e in self.give_up(reducer)], [Append, Notify])
+        reducer = self.reducer()
+        self.take(reducer)
+        reducer.effects = []
+        reducer._final(110.0, 1, 0.5)
+        self.assertEqual([type(e) for e in reducer.effects], [Append, Notify])
+
+    def test_one_whose_time_is_over_is_kept_and_its_client_told_not_to_come(self) -> None:
+        # Guards against two senders of one message: the client's second try and the resend.
+        reducer = self.reducer()
+        self.take(reducer)
+        reducer.effects = []
+        reducer._final(119.8, 1, 0.5)
+        keep, decided, _ = reducer.effects
+        self.assertIsInstance(keep, Keep)
+        assert isinstance(decided, Append) and isinstance(decided.record, Decided)
+        self.assertIsNone(decided.record.notice.again)
+
+    def test_one_that_was_kept_before_a_kill_ends_without_being_kept_again(self) -> None:
+        with tempfile.TemporaryDirectory() as name:
+            journal = Journal(Path(name), 100_000, 0.0)
+            journal.append(Taken(Call("a", 0, 0, 7, 20.0, "k", b"x"), 1e9))
+            journal.close()
+            again = Journal(Path(name), 100_000, 0.0)
+            effects = self.reducer(kept=frozenset({"a"})).reduce(100.0, [Replayed(again.restored())])
+            again.close()
+        self.assertEqual([type(e) for e in effects], [Append, Notify])
+
+    def test_what_is_not_known_is_never_taken_later(self) -> None:
+        reducer = self.reducer()
+        (tell,) = reducer.reduce(100.0, [Asked(1, Request(3, Verb.FATE, ("kept-a-1",)))])
+        assert isinstance(tell, Tell) and isinstance(tell.answer.body, Fates)
+        self.assertEqual([r.end for r in tell.answer.body.fates], ["unknown"])
+        (reply,) = reducer.reduce(100.0, [Handed(5, Call("kept-a-1", 0, 0, 7, 20.0, "k", b"x"), 100.0)])
+        assert isinstance(reply, Reply)
+        self.assertEqual(reply.status, 503)
+        self.take(reducer, "kept-b-1")
+        (tell,) = reducer.reduce(100.0, [Asked(1, Request(3, Verb.FATE, ("kept-b-1",)))])
+        assert isinstance(tell, Tell) and isinstance(tell.answer.body, Fates)
+        self.assertEqual([r.end for r in tell.answer.body.fates], ["held"])
+
+    def test_a_resend_carries_when_it_may_have_run_to_module_and_journal(self) -> None:
+        reducer = self.reducer()
+        heard: list[Any] = []
+        real = reducer.sender.handle
+
+        def handle(now: float, events: Any) -> Any:
+            heard.extend(events)
+            return real(now, events)
+
+        reducer.sender.handle = handle  # type: ignore[method-assign]
+        self.take(reducer, "kept-a-1", ran=3.0)
+        (arrived,) = [e for e in heard if isinstance(e, Arrived)]
+        self.assertEqual(arrived.history, (ModuleTried(0, 97.0),))
+        remember, decided, _ = self.give_up(reducer)
+        self.assertEqual(remember, Remember("kept-a-1", "undeliverable", 97.0))
+        self.assertIsInstance(decided, Append)
+        with tempfile.TemporaryDirectory() as name:
+            journal = Journal(Path(name), 100_000, 0.0)
+            journal.append(Taken(Call("kept-a-1", 0, 0, 7, 20.0, "k", b"x"), 1e9, 97.0))
+            journal.close()
+            again = Journal(Path(name), 100_000, 0.0)
+            (restored,) = again.restored()
+            again.close()
+        self.assertEqual([(d.at, d.may_have_run) for d in restored.history], [(97.0, True)])
+
+    def test_a_spool_that_cannot_be_written_stops_keeping_and_nothing_else(self) -> None:
+        with tempfile.TemporaryDirectory() as name:
+            spool = Spool(Path(name), 10)
+            from juniperward.forwarder.config import Names
+            from juniperward.forwarder.counters import counters
+
+            before = counters().get("kept_failed", 0)
+            keeper = Keeper(spool, settings(KEYED), Names(("c",), (20.0,), (), (), ()), 0.0)
+            tried = Tried("s-1", 1.0, "timeout", True)
+            keeper.keep(Keep(Call("a", 0, 0, 7, 20.0, "k", b"x"), 0.0, 1.0, (tried,), ("s-1",)))
+            self.assertEqual(counters()["kept_failed"], before + 1)
+            spool.remember("kept-a-1", Fate("delivered"))
+            self.assertEqual(keeper.fates(Fates(0.0, ())).complete_since, spool.complete_since)
+            spool.close()
+            keeper.remember(Remember("kept-b-1", "delivered", None))
+            self.assertGreater(keeper.fates(Fates(0.0, ())).complete_since, 1e17)
+
+
+class ForwarderTest(unittest.TestCase):
+    def test_a_real_one_keeps_what_fails_once_over_a_kill(self) -> None:
+        with tempfile.TemporaryDirectory() as name:
+            program = Program(Path(name))
+            self.addCleanup(program.close)
+            program.config["kept"] = {"spool": str(Path(name) / "spool"), "max_bytes": 100_000}
+            program.start()
+            player = Player(program)
+            self.addCleanup(player.close)
+            text = (Path(__file__).parent / "exchanges" / "reload.txt").read_text()
+            player.play(text[text.index("@ c client") : text.index("! reload")])
+            player._signal("restart")
+            found = [k for _, p in segments(Path(name) / "spool") for k, _ in read(p, 0)]
+            self.assertEqual([(k.id, k.effect, k.account) for k in found if k is not None], [("m1", "once", "acme")])
+            self.assertEqual([a.may_have_run for a in found[0].attempts] if found[0] else [], [True])
+            player.close()
+            program.end()
+
+
+class YardTest(unittest.TestCase):
+    """A partner that is away and comes back; what it missed arrives once."""
+
+    def yard(self, rules: bool = True) -> Yard:
+        folder = tempfile.TemporaryDirectory(prefix="jw-")
+        self.addCleanup(folder.cleanup)
+        partners = [PartnerSpec(1, latency=0.02, warm=3.0), PartnerSpec(2, latency=0.02)]
+        yard = Yard(Path(folder.name), 2, partners)
+        self.addCleanup(yard.close)
+        yard.base["settings"]["Services"][0] |= {"DeadlineMs": 2500.0, "AimMs": 1000.0}
+        yard.base["settings"]["Invariants"] |= {"WarmWithinMs": 3000.0}
+        yard.keep = fleet_pb2.Kept(on=True, pace=fleet_pb2.ResendPace(first=10, step=10, share_of_slots=0.5))
+        if rules:
+            yard.keep.rule.add(name="all", most_resends=20)
+        yard.start()
+        return yard
+
+    def check_once(self, yard: Yard) -> None:
+        """Every message that may go has arrived once, and none that is uncertain was sent."""
+        # Resends are handed in by the agent: what it claimed is what the checker is told of them.
+        found = {"next": None}
+        rows: list[Any] = []
+        while True:
+            found = yard.ask("kept", action="list", limit=500, after=found["next"])
+            rows += found["messages"]
+            if found["next"] is None:
+                break
+        effects: dict[str, int] = {}
+        for r in list(yard.recorder.records):
+            if type(r).__name__ == "Effect":
+                effects[r.key] = effects.get(r.key, 0) + 1  # type: ignore[union-attr]
+        for row in rows:
+            whole = yard.ask("kept", action="show", id=row["id"])
+            for n, resend in enumerate(whole["resent"]):
+                at = resend["claimed_at"] - time.time() + time.monotonic()
+                yard.recorder.add(
+                    HandedRecord(at, resend["id"], f"r{row['id']}-{n}", row["key"], "booking-update", row["account"],
+                                 row["destination"], resend["forwarder"], at, at + 2.5)
+                )  # fmt: skip
+                taken = resend["end"] not in ("refused", "never taken")
+                yard.recorder.add(HeardRecord(at + 0.01, resend["id"], 202 if taken else 503))
+            if row["stand"] == "delivered":
+                self.assertEqual(effects.get(row["key"]), 1, row)
+            else:
+                self.assertEqual((row["stand"], row["kind"]), ("kept", "uncertain"), row)
+            self.assertLessEqual(effects.get(row["key"], 0), 1, row)
+        verdict = yard.verdict()
+        self.assertTrue(verdict.good, "\n".join(verdict.lines()))
+        self.kept = len(rows)
+
+    def settled(self, yard: Yard, patience: float = 40.0) -> None:
+        until = time.monotonic() + patience
+        while time.monotonic() < until:
+            try:
+                stats = yard.ask("kept", action="stats")
+                rows = yard.ask("kept", action="list", limit=500, stand="kept")["messages"]
+            except AgentSilent:
+                continue
+            left = [r for r in rows if r["may_go"] or (r["wanted_by"] and r["kind"] == "safe")]
+            if stats["open"] == 0 and not left and stats["messages"]:
+                return
+            time.sleep(0.1)
+        raise TimeoutError(str(stats))
+
+    def test_a_partner_comes_back_and_each_kept_message_arrives_once(self) -> None:
+        yard = self.yard()
+        clients = yard.clients(30.0, 9.0, threads=24)
+        time.sleep(1.0)
+        yard.partners[1].trouble("down")
+        time.sleep(5.0)
+        yard.partners[1].trouble("well")
+        self.assertTrue(clients.done.wait(30.0))
+        yard.settle()
+        self.settled(yard)
+        self.assertFalse(yard.partners[1].fallen)
+        self.check_once(yard)
+        self.assertGreater(self.kept, 10)
+
+    def test_kills_between_claim_and_end_send_nothing_twice_and_two_people_ask_at_once(self) -> None:
+        yard = self.yard(rules=False)
+        clients = yard.clients(30.0, 5.0, threads=24)
+        time.sleep(0.5)
+        yard.partners[1].trouble("down")
+        self.assertTrue(clients.done.wait(30.0))
+        yard.settle()
+        yard.until(lambda s: True)
+        yard.until(lambda s: yard.ask("kept", action="stats")["messages"] > 0)
+        found = yard.ask("kept", action="list", limit=500)["messages"]
+        yard.partners[1].trouble("well")
+        ids = [r["id"] for r in found]
+
+        def wish() -> None:
+            for first in range(0, len(ids), 50):
+                ask(yard.socket, "kept", None, 10.0, action="resend", ids=ids[first : first + 50])
+
+        people = [threading.Thread(target=wish) for _ in range(2)]
+        for person in people:
+            person.start()
+        for person in people:
+            person.join()
+        yard.until(lambda s: yard.ask("kept", action="stats")["stands"].get("delivered", 0) > 0, 30.0)
+        yard.kill_agent()
+        os.kill(yard.pids["n0"], signal.SIGKILL)
+        yard.start_agent()
+        yard.until(lambda s: s["ready"] == 2)
+        self.settled(yard)
+        self.check_once(yard)
+        said = [a["what"] for a in yard.ask("kept", action="audit")["audit"]]
+        self.assertEqual(said.count("asked for a resend"), len(ids))
--- /dev/null
+++ b/tests/test_kept_model.py
@@ -0,0 +1,397 @@
+"""The protocol of claim, hand-in and fate, explored: every crash, every lost answer, and planted bugs it must find.
+
+`Sim` is a small world of two forwarders and a partner, all in memory; the resender and its store are the real ones.
+A crash takes the resender away before any of its operations, and a new one begins with the store alone.
+"""
+
+from __future__ import annotations
+
+import tempfile
+import unittest
+from collections.abc import Callable
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from juniperward.kept.decisions import Clock, Facts, Judgement, Kind, PaceRules, Rule, Sight
+from juniperward.kept.handin import HandIn
+from juniperward.kept.resender import Resender, ResendRules, Told
+from juniperward.kept.spool import Attempt, Kept
+from juniperward.kept.store import Claim, Filter, KeptStore, Lost
+
+WINDOW = 12.0
+RULES = ResendRules(
+    (Rule("all", most_resends=50),), PaceRules(first=4.0, most=50.0, share_of_rate=1.0, share_of_slots=1.0),
+    allowance=0.5, time_left={"c": 5.0},
+)  # fmt: skip
+
+
+class Crash(Exception):
+    """The resender's process is gone."""
+
+
+class Sim:
+    """Two forwarders, a partner, and a resender that may be killed."""
+
+    def __init__(self, folder: Path, ran: tuple[float | None, ...] = (None, None, -4.0)) -> None:
+        self.store = KeptStore(folder / "kept.db", "OFF")
+        self.now = 10_000.0
+        self.operations = 0
+        self.crash_at: set[int] = set()
+        self.alive = {"n0": True, "n1": True}
+        self.held: dict[str, dict[str, HandIn]] = {"n0": {}, "n1": {}}
+        self.late: list[tuple[str, HandIn]] = []  # requests still on their way when their sender died
+        self.told: dict[str, dict[str, Told]] = {"n0": {}, "n1": {}}
+        self.fenced: set[str] = set()
+        self.fencing = True
+        self.effects: dict[str, list[float]] = {}
+        self.done: dict[str, float] = {}  # the partner's memory of keys
+        self.door: list[str] = []  # what happens to the next hand-ins: lost (answer), late, refused
+        self.calls: list[str] = []  # what happens to the next calls: lost (answer), failed, refused
+        self.up = True
+        self.ran: dict[str, list[float]] = {}
+        spooled = []
+        for n, at in enumerate(ran):
+            key = f"k{n}"
+            attempts: tuple[Attempt, ...] = ()
+            if at is not None:
+                self.effects[key] = [self.now + at]
+                self.done[key] = self.now + at
+                attempts = (Attempt("s-1", self.now + at, "reset", True),)
+            spooled.append(
+                Kept(f"m{n}", "c", "acme", 7, key, b"x", 0.0, self.now - 1.0, attempts, "by_key", WINDOW, ("s-1",))
+            )
+        self.store.take_in("n0", spooled, 1, 1)
+        self.resender = Resender(self.store, self, RULES)
+        self.restart()
+
+    def restart(self) -> None:
+        """A new resender with nothing but the store."""
+        self.store.close()
+        self.resender = Resender(self.store, self, RULES)
+        for name in ("claim", "settle_resend", "open_resends", "see"):
+            real: Callable[..., Any] = getattr(KeptStore, name).__get__(self.store)
+            setattr(self.store, name, self._counted(real))
+
+    def _counted(self, real: Callable[..., Any]) -> Callable[..., Any]:
+        def call(*args: Any) -> Any:
+            self._operation()
+            return real(*args)
+
+        return call
+
+    def _operation(self) -> None:
+        self.operations += 1
+        if self.operations in self.crash_at:
+            raise Crash
+
+    # --- what the resender sees ----------------------------------------------------------------------------------
+
+    def clock(self) -> Clock:
+        return Clock(self.now, self.now, "b")
+
+    def forwarders(self) -> list[str]:
+        return sorted(n for n, alive in self.alive.items() if alive)
+
+    def sights(self, destination: int) -> list[Sight]:
+        return [Sight("well", 0.0, False, 50.0, 0, 8)]
+
+    def workers(self, destination: int) -> frozenset[str] | None:
+        return frozenset({"s-1"})
+
+    def slots(self) -> int:
+        return 16
+
+    def take_in(self, store: KeptStore) -> int:
+        self._operation()
+        return 0
+
+    def hand_in(self, forwarder: str, h: HandIn) -> tuple[int, float]:
+        self._operation()
+        what = self.door.pop(0) if self.door else "ok"
+        if what == "refused" or not self.alive[forwarder]:
+            status = 503 if self.alive[forwarder] else -1
+        elif what == "late":
+            self.late.append((forwarder, h))
+            status = 0
+        else:
+            self.take(forwarder, h)
+            status = 0 if what == "lost" else 202
+        self._operation()  # and after it: it was taken, and nobody noted that
+        return status, 0.0
+
+    def fates(self, forwarder: str, ids: tuple[str, ...]) -> dict[str, Told] | None:
+        self._operation()
+        if not self.alive[forwarder]:
+            return None
+        found = {}
+        for name in ids:
+            if name in self.held[forwarder]:
+                found[name] = Told("held", None, 0.0)
+            elif name in self.told[forwarder]:
+                found[name] = self.told[forwarder][name]
+            else:
+                found[name] = Told("unknown", None, 0.0)
+                self.fenced.add(name)
+        return found
+
+    # --- what the world does ---------------------------------------------------------------------------------------
+
+    def take(self, forwarder: str, h: HandIn) -> None:
+        """The forwarder's door; an id that it said it does not know it never takes."""
+        if self.fencing and h.id in self.fenced:
+            return
+        base = h.id.rsplit("-", 1)[0]
+        for held in self.held.values():
+            assert not any(x.rsplit("-", 1)[0] == base for x in held), f"two resends of {h.key} are under way"
+        self.held[forwarder][h.id] = h
+        self.ran[h.id] = [self.now - h.ran_ago] if h.ran_ago is not None else []
+
+    def arrive_late(self) -> None:
+        late, self.late = self.late, []
+        for forwarder, h in late:
+            self.take(forwarder, h)
+
+    def work(self) -> None:
+        """Forwarders call the partner, inside the window that they were told; what fails is given up."""
+        for forwarder, held in self.held.items():
+            if not self.alive[forwarder]:
+                continue
+            for name, h in list(held.items()):
+                ran = self.ran[name]
+                if ran and self.now >= ran[0] + WINDOW:
+                    self.end(forwarder, name, "undeliverable")
+                    continue
+                what = self.calls.pop(0) if self.calls else "ok"
+                if what == "refused" or not self.up:
+                    self.end(forwarder, name, "undeliverable")
+                    continue
+                if what != "failed":
+                    self.effect(h.key or "")
+                if what == "ok":
+                    self.end(forwarder, name, "delivered")
+                else:
+                    ran.append(self.now)
+                    self.end(forwarder, name, "undeliverable")
+
+    def end(self, forwarder: str, name: str, end: str) -> None:
+        del self.held[forwarder][name]
+        self.told[forwarder][name] = Told(end, min(self.ran[name], default=None), 0.0)
+
+    def effect(self, key: str) -> None:
+        if key in self.done and self.now < self.done[key] + WINDOW:
+            return
+        self.done[key] = self.now
+        self.effects.setdefault(key, []).append(self.now)
+        assert len(self.effects[key]) == 1, f"a second effect of {key}: {self.effects[key]}"
+
+    def round(self) -> None:
+        try:
+            self.resender.round()
+        except Crash:
+            self.restart()
+
+    def run(self, rounds: int, seconds: float = 0.25) -> None:
+        for _ in range(rounds):
+            self.now += seconds
+            self.round()
+            self.work()
+
+    def finish(self) -> None:
+        """All is well again: every message that may go arrives once."""
+        self.crash_at, self.door, self.calls, self.up = set(), [], [], True
+        self.alive = dict.fromkeys(self.alive, True)
+        self.arrive_late()
+        self.run(50)
+        for f in self.store.facts(Filter()):
+            count = len(self.effects.get(f.key or "", []))
+            assert count <= 1
+            if f.stand == "delivered":
+                assert count == 1, f"{f.id} is called delivered and never was"
+            elif f.stand == "kept":
+                assert f.ran_at is not None, f"{f.id} may go and has not gone"
+            else:
+                raise AssertionError(f"{f.id} is {f.stand} for ever")
+        self.store.close()
+
+
+class ExploreTest(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder, self.count = Path(folder.name), 0
+
+    def sim(self) -> Sim:
+        self.count += 1
+        folder = self.folder / str(self.count)
+        folder.mkdir()
+        return Sim(folder)
+
+    def explore(
+        self, prepare: Callable[[Sim], None] = lambda s: None, pairs: bool = True,
+        doors: tuple[str, ...] = ("ok", "lost", "late", "refused"),
+    ) -> int:
+        """Each crash alone, and each with a second soon after it, under each fault of door and call."""
+        calm = self.sim()
+        prepare(calm)
+        calm.run(8)
+        calm.finish()
+        places = calm.operations
+        runs = 0
+        for door in doors:
+            for call in ("ok", "lost", "failed", "refused"):
+                for first in range(1, 26):
+                    for second in (0, 2) if pairs else (0,):
+                        sim = self.sim()
+                        prepare(sim)
+                        sim.door, sim.calls = [door], [call]
+                        sim.crash_at = {first, first + second}
+                        sim.run(4)
+                        sim.arrive_late()
+                        sim.run(4)
+                        sim.finish()
+                        runs += 1
+        self.assertGreater(places, 26)
+        return runs
+
+    def test_no_crash_and_no_lost_answer_sends_one_twice_or_forgets_one(self) -> None:
+        self.assertEqual(self.explore(), 4 * 4 * 25 * 2)
+
+    def test_it_finds_a_forwarder_that_takes_what_it_said_it_does_not_know(self) -> None:
+        def unfenced(sim: Sim) -> None:
+            sim.fencing = False
+
+        with self.assertRaisesRegex(AssertionError, "under way|second effect|delivered"):
+            self.explore(unfenced, pairs=False)
+
+    def test_it_finds_a_hand_in_before_the_claim_is_durable(self) -> None:
+        def forgetful(sim: Sim) -> None:
+            real = sim.store.claim
+
+            def claim(*args: Any) -> Claim:
+                made = real(*args)
+                with sim.store.change() as db:
+                    db.execute("UPDATE message SET stand = 'kept' WHERE id = ?", (made.message,))
+                    db.execute("DELETE FROM resend WHERE id = ?", (made.resend,))
+                return made
+
+            sim.store.claim = claim  # type: ignore[method-assign, assignment]
+
+        with self.assertRaises(AssertionError):
+            self.explore(forgetful, pairs=False)
+
+    def test_it_finds_silence_taken_for_never_taken(self) -> None:
+        real = Resender._one_fate
+
+        def guess(self: Resender, done: Any, claim: Claim, told: Told | None, now: float) -> None:
+            if told is not None and told.end == "held":
+                told = Told("unknown", None, 0.0)
+            real(self, done, claim, told, now)
+
+        with mock.patch.object(Resender, "_one_fate", guess), self.assertRaises(AssertionError):
+            self.explore(pairs=False)
+
+    def test_it_finds_a_window_that_is_not_looked_at(self) -> None:
+        # Two hold it: the resender's judgement, and the forwarder's module, which is told when it may have run.
+        def always(m: Facts, now: float, listed: Any, allowance: float) -> Judgement:
+            return Judgement(Kind.SAFE, m.stand == "kept")
+
+        def hasty(sim: Sim) -> None:
+            sim.now += 20.0
+
+        judging = mock.patch("juniperward.kept.resender.judge", always)
+        with judging:
+            self.explore(hasty, pairs=False, doors=("ok",))  # the module alone holds it
+        real = Sim.take
+
+        def untold(sim: Sim, forwarder: str, h: HandIn) -> None:
+            real(sim, forwarder, replace(h, ran_ago=None))
+
+        seen = self.assertRaisesRegex(AssertionError, "a second effect")
+        with judging, mock.patch.object(Sim, "take", untold), seen:
+            self.explore(hasty, pairs=False)
+
+    @settings(derandomize=True, max_examples=150, deadline=None)
+    @given(st.lists(st.one_of(
+        st.tuples(st.just("run"), st.integers(1, 6)), st.tuples(st.just("wait"), st.integers(1, 20)),
+        st.tuples(st.just("crash"), st.integers(1, 12)), st.tuples(st.just("toggle"), st.integers(0, 1)),
+        st.tuples(st.just("partner"), st.integers(0, 1)), st.tuples(st.just("late"), st.just(0)),
+        st.tuples(st.sampled_from(["door:lost", "door:late", "door:refused", "call:lost", "call:failed"]),
+                  st.integers(1, 3)),
+        st.tuples(st.sampled_from(["wish", "discard", "undo"]), st.integers(0, 2)),
+    ), max_size=14))  # fmt: skip
+    def test_any_history_ends_well(self, history: list[tuple[str, int]]) -> None:
+        sim = self.sim()
+        discarded: set[str] = set()
+        for what, n in history:
+            name = f"m{n}"
+            match what:
+                case "run":
+                    sim.run(n)
+                case "wait":
+                    sim.now += n
+                case "crash":
+                    sim.crash_at.add(sim.operations + n)
+                case "toggle":
+                    sim.alive[f"n{n}"] = not sim.alive[f"n{n}"]
+                case "partner":
+                    sim.up = bool(n)
+                case "late":
+                    sim.arrive_late()
+                case "wish":
+                    sim.store.wish([name], "ann")
+                case "discard":
+                    if sim.store.discard([name], "ann"):
+                        discarded.add(name)
+                case "undo":
+                    sim.store.undo([name], "bob")
+                case _:
+                    kind, _, how = what.partition(":")
+                    (sim.door if kind == "door" else sim.calls).extend([how] * n)
+        sim.store.undo(sorted(discarded), "ann")
+        sim.finish()
+
+    def test_a_forwarder_that_lost_its_memory_leaves_the_claim_to_a_person(self) -> None:
+        sim = self.sim()
+        sim.door = ["lost"]
+        sim.round()
+        sim.now += 0.25
+        sim.round()
+        (claim, *_) = sim.store.open_resends()
+        sim.held[claim.forwarder].clear()
+        real = sim.fates
+
+        def forgot(forwarder: str, ids: tuple[str, ...]) -> dict[str, Told] | None:
+            found = real(forwarder, ids) or {}
+            return {k: Told(t.end, t.ran_at, sim.now) if t.end == "unknown" else t for k, t in found.items()}
+
+        sim.fates = forgot  # type: ignore[method-assign]
+        sim.run(20)
+        self.assertIn(claim.resend, sim.resender.round().lost_memory)
+        (facts,) = sim.store.facts(Filter(ids=(claim.message,)))
+        self.assertEqual(facts.stand, "claimed")
+        sim.store.settle(claim.message, False, "ann", "the partner never saw it", sim.now)
+        sim.fates = real  # type: ignore[method-assign]
+        sim.finish()
+
+    def test_a_window_that_closes_between_decision_and_hand_in(self) -> None:
+        sim = Sim(self.folder, (-4.0,))
+        real = sim.store.claim
+
+        def slow(*args: Any) -> Claim:
+            made: Claim = real(*args)
+            sim.now += 9.0
+            return made
+
+        sim.store.claim = slow  # type: ignore[method-assign, assignment]
+        sim.run(8)
+        self.assertEqual(sim.told, {"n0": {}, "n1": {}})
+        (facts,) = sim.store.facts(Filter())
+        self.assertEqual(facts.stand, "kept")
+        with self.assertRaises(Lost):
+            sim.store.claim("m9", None, "n0", 0.0, "x")
+        sim.store.close()
--- /dev/null
+++ b/tests/test_kept_store.py
@@ -0,0 +1,288 @@
+"""The spool and the store: torn, full, damaged, older, and asked by many at once."""
+
+from __future__ import annotations
+
+import multiprocessing
+import os
+import sqlite3
+import tempfile
+import threading
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from juniperward.kept import spool as spools
+from juniperward.kept.decisions import Clock, Stand
+from juniperward.kept.spool import Attempt, Fate, Kept, Spool, SpoolFull, ack, read, segments
+from juniperward.kept.store import MIGRATIONS, Filter, KeptStore, Lost, StoreError, _statements
+
+
+def kept(name: str, at: float = 1000.0, destination: int = 7, ran: float | None = None, body: bytes = b"x") -> Kept:
+    attempts = (Attempt("s-1", ran, "timeout", True),) if ran is not None else (Attempt("s-1", at, "full", False),)
+    return Kept(name, "c", "acme", destination, f"k{name}", body, at - 20.0, at, attempts, "by_key", 12.0, ("s-1",))
+
+
+def _claim_all(file: str, by: str, out: multiprocessing.Queue[int]) -> None:
+    store, won = KeptStore(Path(file), "OFF"), 0
+    for n in range(200):
+        try:
+            store.claim(f"m{n}", None, "n0", 1.0, by)
+            won += 1
+        except Lost:
+            pass
+    out.put(won)
+
+
+class SpoolTest(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name) / "spool"
+
+    def spool(self, most: int = 1_000_000) -> Spool:
+        made = Spool(self.folder, most)
+        self.addCleanup(made.close)
+        return made
+
+    def messages(self) -> list[str]:
+        return [k.id for _, p in segments(self.folder) for k, _ in read(p, 0) if k is not None]
+
+    def test_messages_come_back_whole(self) -> None:
+        one = kept("a", ran=995.0, body=bytes(range(256)))
+        self.spool().keep(one)
+        ((found, _),) = read(segments(self.folder)[0][1], 0)
+        self.assertEqual(found, one)
+
+    def test_a_tail_torn_at_any_byte_loses_only_its_message(self) -> None:
+        mine = self.spool()
+        for name in "abc":
+            mine.keep(kept(name))
+        path = segments(self.folder)[0][1]
+        whole = path.read_bytes()
+        start = whole.rindex(b"\n", 0, -1) + 1
+        for length in range(start, len(whole)):
+            path.write_bytes(whole[:length])
+            self.assertEqual(self.messages(), ["a", "b"])
+            # The next life does not write behind the torn end.
+            Spool(self.folder, 1_000_000).keep(kept("d"))
+            self.assertEqual(self.messages(), ["a", "b", "d"])
+            segments(self.folder)[-1][1].unlink()
+
+    def test_a_damaged_line_is_left_out_and_said(self) -> None:
+        mine = self.spool()
+        for name in "abc":
+            mine.keep(kept(name))
+        path = segments(self.folder)[0][1]
+        lines = path.read_bytes().split(b"\n")
+        lines[1] = lines[1].replace(b"acme", b"acmf")
+        path.write_bytes(b"\n".join(lines))
+        self.assertEqual([k.id if k is not None else None for k, _ in read(path, 0)], ["a", None, "c"])
+
+    def test_one_that_an_earlier_life_kept_is_not_kept_twice(self) -> None:
+        self.spool().keep(kept("a"))
+        again = self.spool()
+        self.assertEqual(again.ids, {"a"})
+        again.keep(kept("a"))
+        self.assertEqual(self.messages(), ["a"])
+
+    def test_acknowledged_segments_go_only_after_their_ids_were_read(self) -> None:
+        self.spool().keep(kept("a"))
+        self.spool().keep(kept("b"))
+        ack(self.folder, 1)
+        third = self.spool()
+        self.assertEqual(third.ids, {"a", "b"})
+        self.assertEqual(self.messages(), ["b"])
+
+    def test_a_full_spool_and_a_full_disk_keep_nothing_of_a_message(self) -> None:
+        mine = self.spool(2000)
+        mine.keep(kept("a"))
+        with self.assertRaises(SpoolFull):
+            mine.keep(kept("b", body=b"x" * 3000))
+        part = iter([5])
+
+        def torn(file: int, data: memoryview) -> int:
+            n = next(part, None)
+            if n is None:
+                raise OSError(28, "No space left on device")
+            return real(file, data[:n])
+
+        real = os.write
+        with mock.patch("os.write", torn), self.assertRaises(OSError):
+            mine.keep(kept("c"))
+        mine.keep(kept("d"))
+        self.assertEqual(self.messages(), ["a", "d"])
+
+    def test_room_comes_back_when_the_agent_has_taken_in(self) -> None:
+        with mock.patch.object(spools, "SEGMENT", 100):
+            mine = self.spool(1000)
+            mine.keep(kept("a"))
+            mine.keep(kept("b"))
+            mine.keep(kept("c"))
+            with self.assertRaises(SpoolFull):
+                mine.keep(kept("d"))
+            ack(self.folder, 2)
+            mine.keep(kept("d"))
+        self.assertEqual(self.messages(), ["c", "d"])
+
+    def test_fates_outlast_the_process_and_the_first_one_stays(self) -> None:
+        mine = self.spool()
+        mine.remember("kept-a-1", Fate("delivered", 5.0))
+        mine.remember("kept-a-1", Fate("undeliverable"))
+        since = mine.complete_since
+        again = self.spool()
+        self.assertEqual(again.fates, {"kept-a-1": Fate("delivered", 5.0)})
+        self.assertEqual(again.complete_since, since)
+        with mock.patch.object(spools, "MOST_FATES", 2):
+            for n in range(3):
+                again.remember(f"kept-b-{n}", Fate("delivered"))
+        self.assertGreater(again.complete_since, since)
+        self.assertNotIn("kept-a-1", self.spool().fates)
+
+
+class StoreTest(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.file = Path(folder.name) / "kept.db"
+        self.store = KeptStore(self.file, "OFF")
+        self.addCleanup(self.store.close)
+
+    def fill(self, count: int) -> None:
+        self.store.take_in("n0", [kept(f"m{n}", 1000.0 + n, n % 5) for n in range(count)], 1, 10)
+
+    def test_a_spool_taken_in_twice_says_the_same(self) -> None:
+        messages = [kept("a"), kept("b", ran=995.0)]
+        self.assertEqual(self.store.take_in("n0", messages, 1, 50), 2)
+        self.assertEqual(self.store.take_in("n0", messages, 1, 50), 0)
+        self.assertEqual(self.store.place("n0"), (1, 50))
+        self.assertEqual([(f.id, f.ran_at) for f in self.store.facts(Filter())], [("a", None), ("b", 995.0)])
+
+    def test_two_processes_and_a_rule_claim_each_message_once(self) -> None:
+        self.fill(200)
+        out: multiprocessing.Queue[int] = multiprocessing.get_context("spawn").Queue()
+        start = multiprocessing.get_context("spawn").Process
+        workers = [start(target=_claim_all, args=(str(self.file), f"p{n}", out)) for n in range(2)]
+        for w in workers:
+            w.start()
+        mine = 0
+        for n in range(199, -1, -1):
+            try:
+                self.store.claim(f"m{n}", None, "n1", 1.0, "rule")
+                mine += 1
+            except Lost:
+                pass
+        for w in workers:
+            w.join(60.0)
+        self.assertEqual(mine + sum(out.get(timeout=10.0) for _ in workers), 200)
+        self.assertEqual(len(self.store.open_resends()), 200)
+
+    def test_a_claim_is_fenced(self) -> None:
+        self.fill(1)
+        claim = self.store.claim("m0", 0, "n0", 1.0, "a")
+        with self.assertRaises(Lost):
+            self.store.claim("m0", 1, "n0", 1.0, "b")
+        self.store.settle_resend(claim, "refused", None, 2.0)
+        with self.assertRaises(Lost):
+            self.store.claim("m0", 0, "n0", 3.0, "c")  # by one who has looked before that
+        again = self.store.claim("m0", 1, "n1", 3.0, "c")
+        self.assertNotEqual(again.resend, claim.resend)
+        with self.assertRaises(Lost):
+            self.store.settle_resend(claim, "delivered", None, 4.0)  # an old claim says nothing any more
+        self.store.settle_resend(again, "undeliverable", 3.5, 4.0)
+        (facts,) = self.store.facts(Filter())
+        self.assertEqual((facts.stand, facts.ran_at, facts.resends), (Stand.KEPT, 3.5, 1))
+
+    def test_people_settle_discard_and_undo_and_all_is_written_down(self) -> None:
+        self.fill(3)
+        claim = self.store.claim("m0", None, "n0", 1.0, "rule")
+        self.store.settle("m0", True, "ann", "the partner has it", 2.0)
+        with self.assertRaises(Lost):
+            self.store.settle_resend(claim, "undeliverable", None, 3.0)
+        with self.assertRaises(Lost):
+            self.store.settle("m0", False, "bob", "no", 3.0)
+        self.assertEqual(self.store.wish(["m1", "m0", "none"], "ann"), 1)
+        self.assertEqual(self.store.wish(["m1"], "bob"), 0)
+        self.assertEqual(self.store.discard(["m1", "m2"], "bob"), 2)
+        self.assertEqual(self.store.undo(["m1", "m0"], "bob"), 1)
+        self.assertEqual(self.store.body("m1", "cy"), b"x")
+        said = [(a["who"], a["what"], a["message"]) for a in self.store.audit()]
+        self.assertIn(("ann", "settled: delivered", "m0"), said)
+        self.assertIn(("cy", "showed the body", "m1"), said)
+        self.assertIn(("bob", "undid the discard", "m1"), said)
+        for order in ("UPDATE audit SET who = 'x'", "DELETE FROM audit"):
+            with self.assertRaises(sqlite3.DatabaseError):
+                self.store.db.execute(order)
+        whole = self.store.whole("m0")
+        assert whole is not None
+        self.assertNotIn("body", whole)
+        self.assertEqual([r["end"] for r in whole["resent"]], ["settled"])
+
+    def test_pages_and_filters(self) -> None:
+        self.fill(25)
+        seen: list[str] = []
+        after = (-1.0, "")
+        while page := self.store.facts(Filter(destination=2), 2, after):
+            seen += [f.id for f in page]
+            after = (page[-1].given_up_at, page[-1].id)
+        self.assertEqual(seen, ["m2", "m7", "m12", "m17", "m22"])
+        self.assertEqual(len(self.store.facts(Filter(since=1010.0, until=1012.0))), 2)
+        self.assertEqual(len(self.store.facts(Filter(key="km3", account="acme", stand="kept"))), 1)
+        self.assertEqual(self.store.destinations(), {n: 5 for n in range(5)})
+
+    def test_retention_drops_the_oldest_and_tells(self) -> None:
+        self.fill(10)
+        self.store.claim("m0", None, "n0", 1.0, "rule")
+        self.assertEqual(self.store.sweep(1010.0, 5.5, 100, 10**9), 4)  # m1 to m4; m0 is under way
+        self.assertEqual(self.store.sweep(1010.0, 1e9, 4, 10**9), 2)
+        self.assertEqual(self.store.sweep(1010.0, 1e9, 100, 1100), 2)
+        self.assertEqual({f.id for f in self.store.facts(Filter())}, {"m0", "m9"})
+        told = [a["detail"] for a in self.store.audit() if a["what"] == "dropped"]
+        self.assertEqual(len(told), 8)
+        self.assertIn("kept; for its age", told)
+
+    def test_an_older_schema_is_taken_over_and_a_newer_one_refused(self) -> None:
+        old = self.file.parent / "old.db"
+        db = sqlite3.connect(old)
+        for statement in _statements(MIGRATIONS[0]):
+            db.execute(statement)
+        db.execute("PRAGMA user_version=1")
+        db.execute("INSERT INTO message VALUES ('a','n','c','t',1,'k',x'00',1,2,'by_key',12,'[]',NULL,'kept',0,0,9)")
+        db.commit()
+        db.close()
+        (facts,) = KeptStore(old).facts(Filter())
+        self.assertEqual((facts.id, facts.wished), ("a", False))
+        self.store.db.execute("PRAGMA user_version=99")
+        with self.assertRaisesRegex(StoreError, "schema 99"):
+            KeptStore(self.file)
+
+    def test_damage_is_found_and_a_backup_is_whole(self) -> None:
+        self.fill(500)
+        copy = self.file.parent / "copy.db"
+        self.store.backup(copy)
+        self.assertEqual(len(KeptStore(copy).facts(Filter())), 500)
+        self.assertEqual(self.store.check(), [])
+        self.store.db.execute("PRAGMA wal_checkpoint(TRUNCATE)")
+        self.store.close()
+        data = bytearray(self.file.read_bytes())
+        data[8192:12288] = b"\xff" * 4096
+        self.file.write_bytes(data)
+        with self.assertRaises((StoreError, sqlite3.DatabaseError)):
+            found = KeptStore(self.file).check()
+            raise StoreError(str(found)) if found else AssertionError("no damage was seen")
+
+    def test_a_disk_that_fills_amid_a_change_takes_none_of_it(self) -> None:
+        self.fill(5)
+        with self.assertRaises(sqlite3.OperationalError), self.store.change() as db:
+            db.execute("UPDATE message SET wished = 'x'")
+            raise sqlite3.OperationalError("database or disk is full")
+        self.assertEqual(self.store.facts(Filter(wished=True)), [])
+
+    def test_moments_are_remembered_and_threads_have_their_own_connections(self) -> None:
+        self.store.see(Clock(5.0, 6.0, "b"))
+        self.store.see(Clock(float("inf"), 7.0, "b"))
+        self.assertEqual(self.store.seen(), Clock(5.0, 6.0, "b"))
+        found: list[object] = []
+        thread = threading.Thread(target=lambda: found.append(self.store.stats()["messages"]))
+        thread.start()
+        thread.join()
+        self.assertEqual(found, [0])
