--- /dev/null
+++ b/juniperward/rigs/measure_kept.py
@@ -0,0 +1,220 @@
+"""Measurements of kept messages: the acceptance run over seeds, live traffic beside resends, the store's rates."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import os
+import random
+import signal
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+from juniperward.agent.client import AgentRefused, AgentSilent
+from juniperward.kept.decisions import Stand
+from juniperward.kept.spool import Attempt, Kept, Spool
+from juniperward.kept.store import Filter, KeptStore
+from juniperward.rigs.measure import Report, quantile
+from juniperward.rigs.yard import Yard
+from juniperward.settings import fleet_pb2
+from juniperward.standins.checker import Verdict, check
+from juniperward.standins.partners import PartnerSpec
+from juniperward.standins.records import Effect, Handed, Heard
+
+AWAY = 10.0  # seconds for which the partner is down
+WARM = 5.0
+
+
+def kept_yard(folder: Path, seed: int, instances: int = 3, keep: bool = True) -> Yard:
+    """A yard whose messages live for four seconds, and are kept."""
+    partners = [PartnerSpec(d, latency=0.03, warm=WARM, at_once=8) for d in (1, 2, 3)]
+    yard = Yard(folder, instances, partners, seed)
+    yard.base["settings"]["Services"][0] |= {"DeadlineMs": 4000.0, "AimMs": 1000.0}
+    yard.base["settings"]["Invariants"] |= {"WarmWithinMs": WARM * 1000}
+    if keep:
+        pace = fleet_pb2.ResendPace(first=5, step=5, most=40)
+        yard.keep = fleet_pb2.Kept(on=True, pace=pace)
+        yard.keep.rule.add(name="all", most_resends=20)
+    return yard
+
+
+def all_kept(yard: Yard) -> list[dict[str, Any]]:
+    """Every message of the store."""
+    rows: list[dict[str, Any]] = []
+    after: Any = None
+    while True:
+        found = yard.ask("kept", action="list", limit=500, after=after)
+        rows += found["messages"]
+        after = found["next"]
+        if after is None:
+            return rows
+
+
+def settled(yard: Yard, patience: float) -> None:
+    """Wait until nothing that may go is left."""
+    until = time.monotonic() + patience
+    while time.monotonic() < until:
+        try:
+            busy = yard.ask("kept", action="stats")["open"]
+            if not busy and not any(r["stand"] == Stand.KEPT and r["kind"] != "uncertain" for r in all_kept(yard)):
+                return
+        except (AgentSilent, AgentRefused):
+            pass
+        time.sleep(0.25)
+
+
+def judged(yard: Yard) -> tuple[Verdict, dict[str, int]]:
+    """The checker's verdict with the resends among the clients, and how the kept messages ended."""
+    rows = all_kept(yard)
+    effects: dict[str, int] = {}
+    for r in yard.recorder.records:
+        if isinstance(r, Effect):
+            effects[r.key] = effects.get(r.key, 0) + 1
+    counts = {"kept": len(rows), "once": 0, "twice": 0, "missing": 0, "uncertain": 0, "uncertain sent": 0}
+    for row in rows:
+        times = effects.get(row["key"], 0)
+        counts["twice"] += times > 1
+        if row["stand"] == Stand.DELIVERED:
+            counts["once"] += times == 1
+            counts["missing"] += times == 0
+        elif row["kind"] == "uncertain":
+            counts["uncertain"] += 1
+        else:
+            counts["missing"] += 1
+        for n, resend in enumerate(yard.ask("kept", action="show", id=row["id"])["resent"]):
+            at = resend["claimed_at"] - time.time() + time.monotonic()
+            first = f"{row['id']}r{n}"
+            yard.recorder.add(
+                Handed(at, resend["id"], first, row["key"], "booking-update", row["account"], row["destination"],
+                       resend["forwarder"], at, at + 4.0)
+            )  # fmt: skip
+            taken = resend["end"] not in ("refused", "never taken")
+            yard.recorder.add(Heard(at + 0.01, resend["id"], 202 if taken else 503))
+    return yard.verdict(), counts
+
+
+def _one(seed: int, kills: bool) -> list[Any]:
+    dice = random.Random(seed)
+    with tempfile.TemporaryDirectory(prefix="jw-") as folder, kept_yard(Path(folder), seed) as yard:
+        yard.start()
+        clients = yard.clients(40.0, AWAY + 8.0, threads=48)
+        time.sleep(2.0)
+        mode = dice.choice(["down", "failing", "shut"])
+        yard.partners[1].trouble(mode, AWAY, share=0.9)
+        back = time.monotonic() + AWAY
+        killed = 0
+        while time.monotonic() < back:
+            time.sleep(dice.uniform(0.5, 2.0))
+        yard.partners[1].trouble("well")
+        for _ in range(6 if kills else 0):
+            time.sleep(dice.uniform(0.2, 1.5))
+            if dice.random() < 0.5:
+                yard.kill_agent()
+                yard.start_agent()
+            else:
+                name = dice.choice(yard.names)
+                if name in yard.pids:
+                    os.kill(yard.pids[name], signal.SIGKILL)
+            killed += 1
+        clients.done.wait(60.0)
+        yard.until(lambda s: s["ready"] == 3, 30.0)
+        yard.settle()
+        settled(yard, 60.0)
+        verdict, counts = judged(yard)
+        return [seed, mode, killed, counts, verdict.good, yard.partners[1].fallen, verdict.lines()]
+
+
+def acceptance(seed: int, out: Path, seeds: int = 8) -> bool:
+    """A partner goes away under load and comes back cold; with and without kills, over seeds."""
+    report = Report("Kept messages after an outage", f"juniperward measure kept --seed {seed} --rounds {seeds}", seed)
+    report.say(
+        f"Three forwarders, 40 messages a second that live for 4 s; one of three partners is down, failing or shut "
+        f"for {AWAY:g} s and comes back cold. With kills, agent or a forwarder is killed by SIGKILL six times while "
+        "resends go on. Four runs at a time."
+    )
+    cases = [(seed + n, kills) for kills in (False, True) for n in range(seeds)]
+    with concurrent.futures.ProcessPoolExecutor(4) as pool:
+        found = list(pool.map(_one, *zip(*cases, strict=True)))
+    rows, good = [], True
+    for s, mode, killed, counts, held, fallen, lines in found:
+        fine = held and not fallen and not counts["twice"] and not counts["missing"]
+        good &= fine
+        rows.append([
+            str(s), mode, str(killed), *(str(counts[k]) for k in ("kept", "once", "twice", "missing", "uncertain")),
+            "yes" if fallen else "no", "held" if held else "broken",
+        ])  # fmt: skip
+        if not held:
+            report.say("```\n" + "\n".join(lines)[:2000] + "\n```")
+    report.table(
+        ["seed", "trouble", "kills", "kept", "arrived once", "twice", "missing", "uncertain, not sent",
+         "partner fell over", "rules"], rows,
+    )  # fmt: skip
+    _beside(report, seed)
+    _rates(report)
+    report.write(out / "kept.md")
+    return good
+
+
+def _beside(report: Report, seed: int) -> None:
+    """Live traffic's worth while so many wait to be sent again."""
+    rows = []
+    for waiting in (0, 1000, 10000):
+        with tempfile.TemporaryDirectory(prefix="jw-") as folder, kept_yard(Path(folder), seed) as yard:
+            spool = Spool(Path(folder) / "run" / "spool" / "n0", 100_000_000)
+            for n in range(waiting):
+                at = time.time() - 60.0 + n * 1e-4
+                attempt = (Attempt("s-2-0", at, "full", False),)
+                spool.keep(
+                    Kept(f"w{n}", "booking-update", "valiya-yard", 1 + n % 3, f"kw{n}", b"x" * 50, at - 4, at,
+                         attempt, "by_key", 12.0, tuple(f"s-{1 + n % 3}-{w}" for w in (0, 1)))
+                )  # fmt: skip
+            spool.close()
+            yard.start()
+            clients = yard.clients(100.0, 12.0, threads=48)
+            clients.done.wait(60.0)
+            stats = yard.ask("kept", action="stats")
+            live = [r for r in list(yard.recorder.records) if not getattr(r, "id", "").startswith("kept-")]
+            v = check(live)
+            sent = stats["stands"].get("delivered", 0)
+            rows.append([
+                f"{waiting}", f"{sent}", f"{v.worth:.4f}", f"{quantile(v.latencies, 0.5) * 1000:.0f}",
+                f"{quantile(v.latencies, 0.99) * 1000:.0f}",
+            ])  # fmt: skip
+    report.say("Live traffic at 100 messages a second for 12 s while others wait to be sent again:")
+    report.table(["waiting", "of them sent meanwhile", "share of live worth", "median ms", "p99 ms"], rows)
+
+
+def _rates(report: Report, count: int = 200_000) -> None:
+    """What the store does a second."""
+    rows = []
+    with tempfile.TemporaryDirectory(prefix="jw-") as folder:
+        store = KeptStore(Path(folder) / "kept.db")
+        attempt = (Attempt("s-1", 1.0, "full", False),)
+
+        def batch(first: int) -> list[Kept]:
+            return [
+                Kept(f"m{n}", "c", "acme", n % 500, f"k{n}", b"x" * 200, float(n), float(n), attempt, "by_key", 1.0, ())
+                for n in range(first, first + 1000)
+            ]
+
+        began = time.monotonic()
+        for first in range(0, count, 1000):
+            store.take_in("n0", batch(first), 1, first)
+        rows.append(["taken in, 1,000 a transaction", f"{count / (time.monotonic() - began):.0f}"])
+        began, seen, after = time.monotonic(), 0, (-1.0, "")
+        while page := store.facts(Filter(stand="kept"), 500, after):
+            seen, after = seen + len(page), (page[-1].given_up_at, page[-1].id)
+        rows.append(["listed, pages of 500", f"{seen / (time.monotonic() - began):.0f}"])
+        began = time.monotonic()
+        for n in range(200):
+            store.facts(Filter(destination=n), 100)
+        rows.append(["searches by destination", f"{200 / (time.monotonic() - began):.0f}"])
+        began = time.monotonic()
+        for n in range(1000):
+            store.claim(f"m{n}", None, "n0", 1.0, "rule")
+        rows.append(["claims, each durable", f"{1000 / (time.monotonic() - began):.0f}"])
+        size = (Path(folder) / "kept.db").stat().st_size / 2**20
+        store.close()
+    report.say(f"The store with {count:,} messages ({size:.0f} MiB):")
+    report.table(["what", "a second"], rows)
