Test the tool of kept messages, and hold what a forwarder imports and opens

Need: on the platform a forwarder must import the standard library only and open nothing more than before; the commands of kept messages had no test of their own. Fences of resends are let go of after two minutes, and kept messages can be switched on and off by a reload.

--- a/juniperward/agent/start.py
+++ b/juniperward/agent/start.py
@@ -59,11 +59,12 @@
         if settings.kept is not None:
             self._keep(settings.kept)
 
-    def _keep(self, rules: ResendRules) -> None:
+    def _keep(self, rules: ResendRules) -> KeptService:
         """Begin to look after kept messages; raises StoreError."""
         self.kept = KeptService(self.loop.settings.folder, rules, self._names, self._ready)
         self.kept.note = self.loop.note
         self.api.kept = self.kept
+        return self.kept
 
     def _names(self) -> list[str]:
         return list(self.loop.reducer.state.instances)
@@ -95,8 +96,15 @@
             self.loop.note("settings stay as they were", "warning", {"why": str(error)})
             return {"error": str(error)}
         self.loop.post(event)
-        if settings.kept is not None and self.kept is not None:
-            self.kept.configure(settings.kept)
+        if self.kept is not None:
+            # Switched off, what is kept stays, and nothing goes by rule.
+            off = ResendRules(rules=(), pace=self.kept.resender.rules.pace)
+            self.kept.configure(settings.kept if settings.kept is not None else off)
+        elif settings.kept is not None:
+            try:
+                self._keep(settings.kept).start()
+            except StoreError as error:
+                self.loop.note("kept messages cannot be looked after", "error", {"why": str(error)})
         return {"edition": event.edition}
 
     def shutdown(self, instances: bool) -> None:
--- a/juniperward/forwarder/reducer.py
+++ b/juniperward/forwarder/reducer.py
@@ -68,6 +68,7 @@
 from nickelscale import Sender
 from nickelscale import interface as i
 
+FENCED = 120.0  # seconds for which a resend that was told unknown is turned away
 EMPTY = 60.0  # seconds for which a destination without workers is still one
 DOOR_WAIT = 1.0  # seconds after which a client that was turned away at the door may come again
 AGAIN_AFTER = 0.05  # seconds after which the module is asked again where it failed
@@ -123,7 +124,7 @@
     open_until: float = 0.0
     stop_at: float | None = None
     draining: bool = False
-    fenced: set[str] = field(default_factory=set)  # resends that were told unknown: never to be taken
+    fenced: dict[str, float] = field(default_factory=dict)  # resends told unknown, and when: never to be taken
 
 
 class Reducer:
@@ -214,7 +215,9 @@
             self.effects.append(EndProcess())
         if verb is Verb.FATE:
             rows = tuple(FateRow(x, "held" if x in s.numbers else "unknown") for x in e.request.ids)
-            s.fenced.update(r.id for r in rows if r.end == "unknown")
+            # What its sender had under way when it asked has come, or has ended with its connection, by then.
+            s.fenced = {x: at for x, at in s.fenced.items() if now - at < FENCED}
+            s.fenced.update((r.id, now) for r in rows if r.end == "unknown")
             self.effects.append(Tell(e.client, Answer(e.request.id, Fates(0.0, rows))))
             return
         body = telling.answer(verb, self.state, self.settings, self.sender, now)
--- a/juniperward/rigs/measure_kept.py
+++ b/juniperward/rigs/measure_kept.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 from typing import Any
 
+from juniperward.agent import processes
 from juniperward.agent.client import AgentRefused, AgentSilent
 from juniperward.kept.decisions import Stand
 from juniperward.kept.spool import Attempt, Kept, Spool
@@ -151,6 +152,7 @@
          "partner fell over", "rules"], rows,
     )  # fmt: skip
     _beside(report, seed)
+    _cost(report, seed)
     _rates(report)
     report.write(out / "kept.md")
     return good
@@ -185,6 +187,29 @@
     report.table(["waiting", "of them sent meanwhile", "share of live worth", "median ms", "p99 ms"], rows)
 
 
+def _cost(report: Report, seed: int) -> None:
+    """What keeping costs the others while a third of all messages are given up."""
+    rows = []
+    for keep in (False, True, False, True):
+        with tempfile.TemporaryDirectory(prefix="jw-") as folder, kept_yard(Path(folder), seed, 1, keep) as yard:
+            yard.start()
+            yard.partners[1].trouble("down")
+            before = yard.ask("inspect", ["n0"])["status"]["pid"]
+            cpu = processes.usage(before)[0]
+            clients = yard.clients(150.0, 12.0, threads=64)
+            clients.done.wait(60.0)
+            time.sleep(5.0)
+            spent = processes.usage(before)[0] - cpu
+            v = check([r for r in list(yard.recorder.records) if not getattr(r, "id", "").startswith("kept-")])
+            kept = yard.ask("inspect", ["n0"])["status"]["kept"]
+            rows.append([
+                "on" if keep else "off", f"{kept}", f"{quantile(v.latencies, 0.5) * 1000:.1f}",
+                f"{quantile(v.latencies, 0.99) * 1000:.1f}", f"{1000 * spent / v.asked:.2f}",
+            ])  # fmt: skip
+    report.say("One forwarder at 150 messages a second, one of three partners down all the time, no resend going:")
+    report.table(["keeping", "kept", "delivered: median ms", "p99 ms", "CPU ms a message"], rows)
+
+
 def _rates(report: Report, count: int = 200_000) -> None:
     """What the store does a second."""
     rows = []
@@ -194,9 +219,10 @@
 
         def batch(first: int) -> list[Kept]:
             return [
-                Kept(f"m{n}", "c", "acme", n % 500, f"k{n}", b"x" * 200, float(n), float(n), attempt, "by_key", 1.0, ())
+                Kept(f"m{n}", "c", "acme", n % 500, f"k{n}", b"x" * 200, float(n), float(n), attempt, "by_key",
+                     12.0, ())
                 for n in range(first, first + 1000)
-            ]
+            ]  # fmt: skip
 
         began = time.monotonic()
         for first in range(0, count, 1000):
--- /dev/null
+++ b/tests/test_cli_kept.py
@@ -0,0 +1,112 @@
+"""`juniperward kept` against a real store behind the agent's API."""
+
+from __future__ import annotations
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from typer.testing import CliRunner, Result
+
+from juniperward.agent import api
+from juniperward.agent.kept import KeptService
+from juniperward.agent.loop import Loop
+from juniperward.agent.store import Store
+from juniperward.cli.main import app
+from juniperward.cli.shared import console
+from juniperward.kept.decisions import Rule
+from juniperward.kept.resender import ResendRules
+from juniperward.settings.load import load
+from tests.test_kept_store import kept
+from tests.test_settings import GOOD
+
+
+class KeptCliTest(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        (self.folder / "base.json").write_text('{"settings": {}}')
+        self.file = self.folder / "f.textproto"
+        self.file.write_text(GOOD)
+        fleet = load(self.file)
+        fleet.folder.mkdir(mode=0o700)
+        self.api = api.Api(fleet.socket, Loop(fleet, Store(fleet.folder), 1), lambda _: {}, lambda _: None)
+        rules = ResendRules((Rule("seven", frozenset({7})),))
+        self.service = KeptService(fleet.folder, rules, lambda: [], lambda: {})
+        self.addCleanup(self.service.store.close)
+        self.api.kept = self.service
+        self.api.start()
+        self.addCleanup(self.api.close)
+        messages = [kept(f"m{n}", 1000.0 + n, 7 if n < 250 else 8, 500.0 if n % 2 else None) for n in range(260)]
+        self.service.store.take_in("n0", messages, 1, 1)
+        self.service.world.told["n0"] = (1e18, {}, {7: {"s-1"}, 8: {"s-1"}})
+
+    def run_tool(self, *words: object, code: int = 0) -> Result:
+        console.width = 240
+        result = CliRunner().invoke(app, ["kept", *(str(w) for w in words), "-a", str(self.file)])
+        self.assertEqual(result.exit_code, code, result.output)
+        return result
+
+    def test_lists_with_filters_pages_and_reasons(self) -> None:
+        rows = json.loads(self.run_tool("list", "-o", "json", "-n", 1000).output)
+        self.assertEqual([r["id"] for r in rows], [f"m{n}" for n in range(260)])
+        self.assertEqual((rows[0]["kind"], rows[0]["may_go"], rows[0]["wanted_by"]), ("safe", True, "seven"))
+        self.assertEqual((rows[1]["kind"], rows[1]["may_go"]), ("uncertain", False))
+        self.assertEqual(rows[254]["wanted_by"], "")
+        self.assertEqual(len(json.loads(self.run_tool("list", "--destination", 8, "-o", "json").output)), 10)
+        self.assertIn("uncertain", self.run_tool("list", "-n", 3).output)
+        self.run_tool("list", "--destination", 99)
+
+    def test_shows_no_body_unless_asked_and_writes_that_down(self) -> None:
+        self.assertNotIn("showed the body", self.run_tool("show", "m1").output)
+        self.assertIn("timeout", self.run_tool("show", "m1").output)
+        found = json.loads(self.run_tool("show", "m1", "--body", "-o", "json").output)
+        self.assertEqual(found["body"], "eA==")
+        self.assertIn("showed the body", self.run_tool("audit").output)
+        self.run_tool("show", "none", code=1)
+
+    def test_bulk_orders_say_how_many_and_do_nothing_on_a_dry_run(self) -> None:
+        self.run_tool("resend", "--destination", 7, "--dry-run")
+        self.assertEqual(json.loads(self.run_tool("stats", "-o", "json").output)["wished"], 0)
+        self.assertIn("asked: 250 of 250", self.run_tool("resend", "--destination", 7).output)
+        self.assertIn("asked: 10 of 260", self.run_tool("resend", "--all").output)
+        self.assertIn("discarded: 2 of 2", self.run_tool("discard", "m0", "m1").output)
+        self.assertIn("undone: 1 of 1", self.run_tool("undo", "m0").output)
+        self.assertIn("no such message: none", self.run_tool("resend", "none", "m2", code=1).output)
+        self.run_tool("resend", code=2)
+        self.run_tool("discard", code=2)
+
+    def test_settles_exports_checks_and_copies(self) -> None:
+        self.run_tool("settle", "m1", "--delivered", "--why", "Mr Nair has it")
+        self.run_tool("settle", "m3", "--not-delivered", "--why", "not in their book")
+        self.run_tool("settle", "m1", "--delivered", "--why", "again", code=1)
+        self.run_tool("settle", "m5", "--delivered", "--why", " ", code=1)
+        rows = {r["id"]: r for r in json.loads(self.run_tool("list", "-o", "json").output)}
+        self.assertEqual((rows["m1"]["stand"], rows["m3"]["kind"]), ("delivered", "safe"))
+        out = self.folder / "out.jsonl"
+        self.run_tool("export", out, "--destination", 8)
+        self.assertEqual(len([json.loads(x) for x in out.read_text().splitlines()]), 10)
+        self.assertIn("0 faults", self.run_tool("check").output)
+        self.run_tool("backup", self.folder / "copy.db")
+        self.assertTrue((self.folder / "copy.db").exists())
+
+    def test_rules_are_checked_and_simulated(self) -> None:
+        other = self.folder / "g.textproto"
+        other.write_text(GOOD + 'kept { on: true\n rule { name: "x" destination: 8 }\n rule { name: "x" } }')
+        result = CliRunner().invoke(app, ["kept", "rules", "check", str(other)])
+        self.assertEqual(result.exit_code, 2)
+        self.assertIn("g.textproto:16: kept.rule[1].name: x stands twice", result.output)
+        other.write_text(GOOD + 'kept { on: true rule { name: "x" destination: 8 } }')
+        self.assertEqual(CliRunner().invoke(app, ["kept", "rules", "check", str(other)]).exit_code, 0)
+        words = ["kept", "rules", "simulate", str(other), "-a", str(self.file), "-o", "json"]
+        found = json.loads(CliRunner().invoke(app, words).output)
+        self.assertEqual(found["go"], {"x": {"8": 5}})
+        self.assertEqual(found["stay"]["uncertain"], 130)
+        self.assertEqual(found["stay"]["no rule takes it"], 125)
+        self.assertEqual(json.loads(self.run_tool("stats", "-o", "json").output)["wished"], 0)
+
+    def test_an_agent_that_keeps_nothing_says_so(self) -> None:
+        self.api.kept = None
+        self.assertIn("nothing is kept", self.run_tool("stats", code=1).output)
--- /dev/null
+++ b/tests/test_shape.py
@@ -0,0 +1,47 @@
+"""The shape of the house: what a forwarder may import, and that nothing is opened which was not asked for."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+from tests.player import ROOT, Program
+
+HEAVY = ("typer", "rich", "structlog", "msgspec", "google", "sqlite3", "pyrsistent", "juniperward.control.server")
+
+
+class ShapeTest(unittest.TestCase):
+    def test_a_forwarder_starts_with_the_standard_library_alone(self) -> None:
+        # -S: no installed package can be imported.
+        code = f"import juniperward.forwarder.start, sys; print([m for m in {HEAVY!r} if m in sys.modules])"
+        found = subprocess.run(
+            [sys.executable, "-S", "-c", code],
+            cwd=ROOT, env={"PATH": os.environ["PATH"]}, capture_output=True, text=True,
+        )  # fmt: skip
+        self.assertEqual((found.stdout.strip(), found.stderr), ("[]", ""))
+
+    def test_on_the_platform_nothing_more_is_opened(self) -> None:
+        # Without `control` and `kept` in the configuration: no Unix socket, and one file in the state folder.
+        with tempfile.TemporaryDirectory() as name:
+            program = Program(Path(name))
+            program.start()
+            assert program.process is not None
+            folder = Path(f"/proc/{program.process.pid}/fd")
+            open_files = [os.readlink(folder / n) for n in os.listdir(folder)]
+            state = [p.name for p in program.state.iterdir()]
+            program.close()
+        ours = [f for f in open_files if name in f]
+        self.assertEqual(sorted(Path(f).name for f in ours), ["journal", "state"])
+        self.assertEqual(state, ["journal"])
+
+    def test_no_file_of_ours_has_grown_out_of_sight(self) -> None:
+        sizes = {
+            str(p.relative_to(ROOT)): len(p.read_text().splitlines())
+            for p in (ROOT / "juniperward").rglob("*.py")
+            if not p.name.endswith("_pb2.py")
+        }
+        self.assertEqual({n: s for n, s in sizes.items() if s > 600}, {})
