Add a lab: a model of the world in simulated time, baselines, and paired experiments

The lab drives the real decision module, or one of six baselines written from their public descriptions, through scenarios in text format: partners with limits, cold returns and falls, clumps, kills.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 .PHONY: demo test check measure clean
 $(VENV)/.done: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
-	$(VENV)/bin/pip install --quiet --disable-pip-version-check -e '.[agent,dev]'
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check -e '.[agent,lab,dev]'
 	touch $@
 
 demo: $(VENV)/.done  ## an agent, three forwarders and partners, rolled under load and judged
--- /dev/null
+++ b/juniperward/cli/lab.py
@@ -0,0 +1,156 @@
+"""`juniperward lab`: experiments in simulated time."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Annotated, Any
+
+import typer
+from rich.progress import Progress
+
+from juniperward.cli.shared import REFUSED, USAGE, Output, OutputOption, console, errors, print_json, table
+from juniperward.settings.load import SettingsError
+
+app = typer.Typer(help="Experiments on a model of the world, in simulated time.", no_args_is_help=True)
+
+ScenariosArgument = Annotated[list[Path] | None, typer.Argument(help="Scenario files; all of scenarios/ if none.")]
+PoliciesOption = Annotated[list[str] | None, typer.Option("--policy", "-p", help="May be repeated; all if none.")]
+SeedsOption = Annotated[int, typer.Option(help="How many seeds, from 1.")]
+OutOption = Annotated[Path, typer.Option(help="The experiment's folder.")]
+ProcessesOption = Annotated[int | None, typer.Option(help="Runs at once; default: one a core.")]
+
+
+def _scenarios(files: list[Path] | None) -> list[Any]:
+    from juniperward.lab.scenario import FOLDER, load
+
+    try:
+        return [load(f) for f in (files or sorted(FOLDER.glob("*.textproto")))]
+    except SettingsError as error:
+        errors.print(str(error), markup=False, highlight=False, soft_wrap=True)
+        raise typer.Exit(USAGE) from None
+
+
+def _policies(names: list[str] | None) -> list[str]:
+    from juniperward.lab.policies import POLICIES
+
+    unknown = [n for n in names or [] if n not in POLICIES]
+    if unknown:
+        raise typer.BadParameter(f"{', '.join(unknown)}: none of {', '.join(POLICIES)}", param_hint="--policy")
+    return names or list(POLICIES)
+
+
+def _sweep(
+    files: list[Path] | None, policies: list[str] | None, seeds: int, out: Path, processes: int | None
+) -> list[Any]:
+    from juniperward.lab.experiment import Busy, sweep
+
+    scenarios, chosen = _scenarios(files), _policies(policies)
+    with Progress(console=errors, transient=True) as progress:
+        task = progress.add_task("runs", total=len(scenarios) * len(chosen) * seeds)
+        try:
+            return sweep(
+                out, scenarios, chosen, range(1, seeds + 1), processes,
+                lambda done, total, result: progress.update(task, completed=done),
+            )  # fmt: skip
+        except (Busy, OSError) as error:
+            errors.print(str(error), markup=False)
+            raise typer.Exit(REFUSED) from None
+
+
+@app.command("list")
+def list_(output: OutputOption = Output.TABLE) -> None:
+    """Name the scenarios and policies."""
+    from juniperward.lab.policies import POLICIES
+
+    scenarios = _scenarios(None)
+    if output is Output.JSON:
+        rows = [{"scenario": s.name, "shows": s.shows} for s in scenarios]
+        print_json({"scenarios": rows, "policies": list(POLICIES)})
+        return
+    made = table("scenario", "shows")
+    for s in scenarios:
+        made.add_row(s.name, s.shows)
+    console.print(made)
+    console.print(f"policies: {', '.join(POLICIES)}", markup=False)
+
+
+@app.command()
+def run(
+    scenario: Annotated[Path, typer.Argument(help="A scenario file.")],
+    policy: Annotated[str, typer.Option("--policy", "-p")] = "nickelscale",
+    seed: Annotated[int, typer.Option()] = 1,
+    output: OutputOption = Output.TABLE,
+) -> None:
+    """Run one scenario once and show all that came of it. The same seed gives the same run."""
+    from juniperward.lab.experiment import Result, one
+
+    (s,), (p,) = _scenarios([scenario]), _policies([policy])
+    result = one(s.text, str(scenario), p, seed)
+    row = {f: getattr(result, f) for f in Result.__slots__ if f not in ("by_second", "v")}
+    if output is Output.JSON:
+        print_json(row | {"by_second": result.by_second})
+        return
+    made = table("what", "value", title=f"{s.name}: {s.shows}")
+    for key, value in row.items():
+        made.add_row(key, f"{value:.4f}" if isinstance(value, float) else json.dumps(value))
+    console.print(made)
+
+
+@app.command()
+def sweep(
+    files: ScenariosArgument = None, policy: PoliciesOption = None, seeds: SeedsOption = 5,
+    out: OutOption = Path("lab.run"), processes: ProcessesOption = None, output: OutputOption = Output.TABLE,
+) -> None:  # fmt: skip
+    """Run scenarios under policies over seeds; what is in the folder already is not run again."""
+    from juniperward.lab.report import markdown
+    from juniperward.lab.report import table as worth_table
+
+    results = _sweep(files, policy, seeds, out, processes)
+    if output is Output.JSON:
+        print_json([{"scenario": r.scenario, "policy": r.policy, "seed": r.seed, "worth": r.worth} for r in results])
+        return
+    policies, rows = worth_table(results)
+    made = table("scenario", *(f">{p}" for p in policies))
+    for row in rows:
+        made.add_row(row.name, *(f"[bold]{c.text}[/bold]" if c.best else c.text for c in row.cells))
+    console.print(made)
+    (out / "table.md").write_text(markdown(results))
+
+
+@app.command()
+def compare(
+    one: Annotated[str, typer.Argument(help="A policy.")],
+    other: Annotated[str, typer.Argument(help="Another.")],
+    files: Annotated[list[Path] | None, typer.Option("--scenario", "-s", help="May be repeated.")] = None,
+    seeds: SeedsOption = 10, out: OutOption = Path("lab.run"), processes: ProcessesOption = None,
+    output: OutputOption = Output.TABLE,
+) -> None:  # fmt: skip
+    """Compare two policies, paired by seed, with bootstrap intervals."""
+    from juniperward.lab.experiment import Comparison
+    from juniperward.lab.experiment import compare as pair
+
+    found = pair(_sweep(files, [one, other], seeds, out, processes), one, other)
+    if output is Output.JSON:
+        print_json([{f: getattr(c, f) for f in Comparison.__slots__} | {"says": c.says} for c in found])
+        return
+    made = table("scenario", ">seeds", ">difference", ">low", ">high", "says")
+    for c in found:
+        made.add_row(c.scenario, str(c.seeds), f"{c.mean:+.4f}", f"{c.low:+.4f}", f"{c.high:+.4f}", c.says)
+    console.print(made)
+
+
+@app.command()
+def report(
+    file: Annotated[Path, typer.Argument(help="The page to write.")],
+    files: Annotated[list[Path] | None, typer.Option("--scenario", "-s")] = None,
+    policy: PoliciesOption = None, seeds: SeedsOption = 5, out: OutOption = Path("lab.run"),
+    processes: ProcessesOption = None,
+) -> None:  # fmt: skip
+    """Write one self-contained HTML page with tables and charts."""
+    from juniperward.lab.report import write
+
+    results = _sweep(files, policy, seeds, out, processes)
+    shows = {s.name: s.shows for s in _scenarios(files)}
+    write(results, shows, file, f"juniperward lab report {file} --seeds {seeds}")
+    console.print(f"{file}: {len(results)} runs", markup=False)
--- a/juniperward/cli/main.py
+++ b/juniperward/cli/main.py
@@ -7,7 +7,7 @@
 
 import typer
 
-from juniperward.cli import config, fleet, kept
+from juniperward.cli import config, fleet, kept, lab
 
 app = typer.Typer(
     name="juniperward",
@@ -20,6 +20,7 @@
 app.add_typer(fleet.app, name="fleet")
 app.add_typer(config.app, name="config")
 app.add_typer(kept.app, name="kept")
+app.add_typer(lab.app, name="lab")
 
 
 @agent.command("run")
--- /dev/null
+++ b/juniperward/lab/__init__.py
@@ -0,0 +1,1 @@
+"""The lab: a model of the world that forwarders serve, in simulated time, and experiments on it."""
--- /dev/null
+++ b/juniperward/lab/experiment.py
@@ -0,0 +1,202 @@
+"""Experiments: runs spread over processes, kept as they end, compared by seed.
+
+A result is a line of JSON in `results.jsonl` of the experiment's folder, with all that is needed to repeat it. What
+is there already is not run again, so an experiment that was killed goes on where it stood.
+"""
+
+from __future__ import annotations
+
+import concurrent.futures
+import fcntl
+import hashlib
+import json
+import os
+import time
+import zlib
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import numpy as np
+from scipy import stats
+
+from juniperward.lab.policies import POLICIES
+from juniperward.lab.scenario import Scenario, parse
+from juniperward.lab.world import World
+
+VERSION = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """One run; times in seconds of the day, `wall` of this machine."""
+
+    scenario: str
+    digest: str  # of the scenario's text
+    policy: str
+    seed: int
+    worth: float
+    asked: int
+    delivered: int
+    refused: int
+    failed: int
+    median: float
+    p99: float
+    calls: int
+    calls_refused: int
+    second_effects: int
+    waits_broken: int
+    fallen: int
+    lost: dict[str, float]
+    by_second: list[list[float]]
+    wall: float
+    events: int
+    v: int = VERSION
+
+    @property
+    def key(self) -> tuple[str, str, int]:
+        return self.digest, self.policy, self.seed
+
+
+def digest(scenario: Scenario) -> str:
+    """Names a scenario by what it says."""
+    return hashlib.sha256(scenario.text.encode()).hexdigest()[:12]
+
+
+def one(text: str, name: str, policy: str, seed: int) -> Result:
+    """Run a scenario once; called in a process of its own."""
+    scenario = parse(text, name)
+    began = time.monotonic()
+    r = World(scenario, POLICIES[policy], seed).run()
+    latencies = np.array(r.latencies or [0.0])
+    return Result(
+        scenario.name, digest(scenario), policy, seed, r.worth, r.asked, r.delivered, r.refused, r.failed,
+        float(np.quantile(latencies, 0.5)), float(np.quantile(latencies, 0.99)), r.calls, r.calls_refused,
+        r.second_effects, r.waits_broken, r.fallen, r.lost, [list(x) for x in r.by_second],
+        time.monotonic() - began, r.events,
+    )  # fmt: skip
+
+
+class Busy(Exception):
+    """Another experiment writes to this folder."""
+
+
+class Results:
+    """The folder of an experiment; one writer."""
+
+    def __init__(self, folder: Path) -> None:
+        folder.mkdir(parents=True, exist_ok=True)
+        self.file = folder / "results.jsonl"
+        self.handle = open(self.file, "a+b")  # noqa: SIM115
+        try:
+            fcntl.flock(self.handle, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            self.handle.close()
+            raise Busy(f"{folder}: another experiment writes there") from None
+        self.found: dict[tuple[str, str, int], Result] = {}
+        good = 0
+        self.handle.seek(0)
+        for line in self.handle:
+            result = _decode(line)
+            if result is None:
+                break  # torn by a kill: it is run again
+            self.found[result.key] = result
+            good += len(line)
+        self.handle.truncate(good)
+        self.handle.seek(good)
+
+    def add(self, result: Result) -> None:
+        """Keep a result; raises OSError."""
+        text = json.dumps({f: getattr(result, f) for f in Result.__slots__}).encode()
+        self.handle.write(b"%08x %s\n" % (zlib.crc32(text), text))
+        self.handle.flush()
+        os.fsync(self.handle.fileno())
+        self.found[result.key] = result
+
+    def close(self) -> None:
+        self.handle.close()
+
+
+def _decode(line: bytes) -> Result | None:
+    try:
+        total, text = line.rstrip(b"\n").split(b" ", 1)
+        if not line.endswith(b"\n") or int(total, 16) != zlib.crc32(text):
+            return None
+        row: dict[str, Any] = json.loads(text)
+        known = {k: v for k, v in row.items() if k in Result.__slots__}
+        return Result(**known) if row["v"] <= VERSION else None
+    except (ValueError, TypeError, KeyError):
+        return None
+
+
+def sweep(
+    folder: Path, scenarios: Iterable[Scenario], policies: Iterable[str], seeds: Iterable[int],
+    processes: int | None = None, told: Callable[[int, int, Result], None] = lambda done, total, result: None,
+) -> list[Result]:  # fmt: skip
+    """Run what is not there yet; all results that were asked for. A run whose process dies is tried once more."""
+    asked = [(s, p, n) for s in scenarios for p in policies for n in seeds]
+    results = Results(folder)
+    try:
+        for attempt in range(2):
+            left = [(s, p, n) for s, p, n in asked if (digest(s), p, n) not in results.found]
+            if not left:
+                break
+            try:
+                _run(left, results, processes, len(asked), told)
+            except concurrent.futures.process.BrokenProcessPool:
+                if attempt:
+                    raise
+        return [results.found[digest(s), p, n] for s, p, n in asked]
+    finally:
+        results.close()
+
+
+def _run(
+    left: list[tuple[Scenario, str, int]], results: Results, processes: int | None, total: int,
+    told: Callable[[int, int, Result], None],
+) -> None:  # fmt: skip
+    with concurrent.futures.ProcessPoolExecutor(processes) as pool:
+        runs = [pool.submit(one, s.text, f"{s.name}.textproto", p, n) for s, p, n in left]
+        for run in concurrent.futures.as_completed(runs):
+            result = run.result()
+            results.add(result)
+            told(total - len(left) + len([r for r in runs if r.done()]), total, result)
+
+
+@dataclass(frozen=True, slots=True)
+class Comparison:
+    """Two policies on one scenario, paired by seed; the interval holds 0.95 of the bootstrap's means."""
+
+    scenario: str
+    one: str
+    other: str
+    seeds: int
+    mean: float
+    low: float
+    high: float
+
+    @property
+    def says(self) -> str:
+        """In words: an interval that holds 0 shows no difference."""
+        if self.low <= 0 <= self.high:
+            return "no difference seen"
+        return f"{self.one} is better" if self.mean > 0 else f"{self.other} is better"
+
+
+def compare(results: list[Result], one_: str, other: str) -> list[Comparison]:
+    """For each scenario, how much more worth one policy keeps than the other."""
+    found = []
+    for scenario in sorted({r.scenario for r in results}):
+        worth = {(r.policy, r.seed): r.worth for r in results if r.scenario == scenario}
+        seeds = sorted(n for p, n in worth if p == one_ and (other, n) in worth)
+        if not seeds:
+            continue
+        differences = np.array([worth[one_, n] - worth[other, n] for n in seeds])
+        mean = float(differences.mean())
+        low = high = mean
+        if len(seeds) > 1 and float(differences.std()) > 1e-12:
+            made = stats.bootstrap((differences,), np.mean, n_resamples=2000, method="percentile", rng=1)
+            low, high = float(made.confidence_interval.low), float(made.confidence_interval.high)
+        found.append(Comparison(scenario, one_, other, len(seeds), mean, low, high))
+    return found
--- /dev/null
+++ b/juniperward/lab/policies.py
@@ -0,0 +1,272 @@
+"""Baselines: other ways to deliver, written from their public descriptions, behind the decision module's interface.
+
+Each keeps what binds everybody (told waits, the window of repeats, the message's own time) and differs in how it
+limits, spreads and repeats. They are here to be beaten, and to be learned from where they are not.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+import random
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from nickelscale import Sender
+from nickelscale import interface as i
+
+MARGIN = 0.02
+RETRY = 0.2
+
+
+@dataclass(slots=True)
+class Held:
+    """A message and its attempts."""
+
+    number: int
+    partner: int
+    expires: float
+    sends: int = 0
+    first_ran: float | None = None
+    out: bool = False
+    not_before: float = 0.0
+    last: int = -1
+
+
+@dataclass(slots=True)
+class Lane:
+    """What a baseline keeps of one destination."""
+
+    endpoints: list[int] = field(default_factory=list)
+    queue: deque[int] = field(default_factory=deque)
+    wait_until: float = 0.0
+    out: dict[int, int] = field(default_factory=dict)  # calls out, by endpoint
+    rating: float = 0.0
+    turn: int = 0
+    limit: float = 16.0  # concurrency or rate, as the policy has it
+    tokens: float = 1.0
+    tokens_at: float = 0.0
+    fails: int = 0
+    open_until: float = 0.0  # of a circuit breaker
+    least: float = math.inf  # latency
+    cut_at: float = -math.inf
+
+    @property
+    def calls(self) -> int:
+        return sum(self.out.values())
+
+
+class Baseline:
+    """What all baselines share: queues, time-outs, told waits, repeats inside the window."""
+
+    tries = 8
+    keeps_on = True  # goes on after a failure
+
+    def __init__(self, settings: i.Settings, seed: int) -> None:
+        self.set, self.random = settings, random.Random(seed)
+        self.held: dict[int, Held] = {}
+        self.lanes: dict[int, Lane] = {}
+        self.home: dict[int, int] = {}
+        self.slots = 0
+        self.now = 0.0
+        self.due: list[tuple[float, int]] = []
+        self.armed = math.inf
+        self.token = 0
+
+    def handle(self, now: float, events: Iterable[i.Event]) -> list[i.Action]:
+        """As `Sender.handle`."""
+        self.now = now
+        actions: list[i.Action] = []
+        for e in events:
+            match e:
+                case i.Listed():
+                    for x in e.entries:
+                        lane = self.lanes.setdefault(x.destination, Lane())
+                        if x.phase is i.Phase.READY and x.endpoint not in lane.endpoints:
+                            lane.endpoints.append(x.endpoint)
+                            lane.rating = x.rating
+                        self.home[x.endpoint] = x.destination
+                case i.Arrived():
+                    m = Held(e.message, e.destination, now + e.budget)
+                    self.held[m.number] = m
+                    self.lanes.setdefault(m.partner, Lane()).queue.append(m.number)
+                    heapq.heappush(self.due, (m.expires - MARGIN, m.number))
+                case i.Settled():
+                    self._settled(e)
+                case i.TimerFired():
+                    self.armed = math.inf
+        while self.due and self.due[0][0] <= now + 1e-9:
+            _, number = heapq.heappop(self.due)
+            late = self.held.get(number)
+            if late is not None and not late.out and now >= late.expires - MARGIN - 1e-9:
+                self._give_up(late, actions)
+        for partner, lane in self.lanes.items():
+            if lane.queue:
+                self._release(partner, lane, actions)
+        wake = min([self.due[0][0] if self.due else math.inf, *self._wakes()])
+        if wake < self.armed - 1e-9:
+            self.armed = wake
+            self.token += 1
+            actions.append(i.SetTimer(max(wake - now, self.set.resolution), self.token))
+        return actions
+
+    def _wakes(self) -> list[float]:
+        found = []
+        for lane in self.lanes.values():
+            if lane.queue:
+                head = self.held.get(lane.queue[0])
+                at = max(lane.wait_until, lane.open_until, head.not_before if head else 0.0, self.ready_at(lane))
+                if at > self.now:
+                    found.append(at)
+        return found
+
+    def _give_up(self, m: Held, actions: list[i.Action]) -> None:
+        del self.held[m.number]
+        actions.append(i.Refuse(m.number, 1.0) if m.first_ran is None else i.Fail(m.number))
+
+    def _settled(self, e: i.Settled) -> None:
+        lane = self.lanes[self.home[e.endpoint]]
+        lane.out[e.endpoint] = lane.out.get(e.endpoint, 1) - 1
+        self.slots -= 1
+        if e.wait > 0:
+            lane.wait_until = max(lane.wait_until, self.now + e.wait)
+        self.learn(lane, e)
+        m = self.held.get(e.message)
+        if m is None:
+            return
+        m.out = False
+        if e.ended:
+            del self.held[m.number]
+            return
+        if not e.outcome.never_ran and m.first_ran is None:
+            m.first_ran = self.now - e.latency
+        m.not_before = self.now + (RETRY * 2 ** min(m.sends - 1, 3) if self.keeps_on else math.inf)
+        lane.queue.append(m.number)
+
+    def _release(self, partner: int, lane: Lane, actions: list[i.Action]) -> None:
+        for _ in range(len(lane.queue)):
+            if self.slots >= self.set.slots or self.now < max(lane.wait_until, lane.open_until):
+                return
+            m = self.held.get(lane.queue[0])
+            if m is None or m.out:
+                lane.queue.popleft()
+                continue
+            over = m.first_ran is not None and self.now >= m.first_ran + self.set.classes[0].window - MARGIN
+            if m.sends >= self.tries or over or (m.sends and not self.keeps_on):
+                lane.queue.popleft()
+                self._give_up(m, actions)
+                continue
+            if m.not_before > self.now:
+                lane.queue.rotate(-1)
+                continue
+            endpoint = self.choose(lane, m)
+            if endpoint is None or not self.admits(lane):
+                return
+            lane.queue.popleft()
+            m.out, m.last = True, endpoint
+            m.sends += 1
+            lane.out[endpoint] = lane.out.get(endpoint, 0) + 1
+            self.slots += 1
+            self.spent(lane)
+            actions.append(i.Send(m.number, endpoint, max(m.expires - self.now, MARGIN)))
+
+    # --- what a baseline says of its own ------------------------------------------------------------------------
+
+    def choose(self, lane: Lane, m: Held) -> int | None:
+        """The endpoint for a call: in turn."""
+        if not lane.endpoints:
+            return None
+        lane.turn += 1
+        return lane.endpoints[lane.turn % len(lane.endpoints)]
+
+    def admits(self, lane: Lane) -> bool:
+        """Whether one more call may go now."""
+        return True
+
+    def ready_at(self, lane: Lane) -> float:
+        """When `admits` may say yes by itself."""
+        return 0.0
+
+    def spent(self, lane: Lane) -> None:
+        """A call goes."""
+
+    def learn(self, lane: Lane, e: i.Settled) -> None:
+        """A call has ended."""
+
+
+class OneTry(Baseline):
+    """One try for each message, in the order of arrival."""
+
+    keeps_on = False
+
+
+class RoundRobin(Baseline):
+    """Endpoints in turn, retries with backoff."""
+
+
+class LeastOutstanding(Baseline):
+    """The endpoint with the fewest calls out, behind a circuit breaker: five failures in a row open it for 2 s."""
+
+    def choose(self, lane: Lane, m: Held) -> int | None:
+        return min(lane.endpoints, key=lambda x: (lane.out.get(x, 0), x), default=None)
+
+    def learn(self, lane: Lane, e: i.Settled) -> None:
+        if e.outcome is i.Outcome.OK:
+            lane.fails = 0
+        elif e.outcome is not i.Outcome.FULL:
+            lane.fails += 1
+            if lane.fails >= 5:
+                lane.open_until = self.now + 2.0
+                lane.fails = 4  # half open: one more failure opens it again
+
+
+class Aimd(Baseline):
+    """A concurrency limit a destination: one more for each limit's worth of answers, half at a refusal."""
+
+    def admits(self, lane: Lane) -> bool:
+        return lane.calls < lane.limit
+
+    def learn(self, lane: Lane, e: i.Settled) -> None:
+        if e.outcome is i.Outcome.OK:
+            lane.limit = min(lane.limit + 1 / max(lane.limit, 1.0), 256.0)
+        elif e.outcome is not i.Outcome.MOOT and self.now - lane.cut_at > 0.1:
+            lane.limit, lane.cut_at = max(lane.limit / 2, 1.0), self.now
+
+
+class Gradient(Aimd):
+    """The limit follows the ratio of the least latency to the present one, with room for the root of it."""
+
+    def learn(self, lane: Lane, e: i.Settled) -> None:
+        if e.outcome is i.Outcome.OK:
+            lane.least = min(lane.least * 1.001, e.latency)
+            gradient = max(0.5, min(1.0, 2.0 * lane.least / max(e.latency, 1e-6)))
+            wanted = lane.limit * gradient + math.sqrt(lane.limit)
+            lane.limit = min(max(0.9 * lane.limit + 0.1 * wanted, 1.0), 256.0)
+        elif self.now - lane.cut_at > 0.1:
+            lane.limit, lane.cut_at = max(lane.limit * 0.8, 1.0), self.now
+
+
+class TokenBucket(Baseline):
+    """A queue a destination, calls at its share of the listed rate, a second's worth at once at the most."""
+
+    def _rate(self, lane: Lane) -> float:
+        return lane.rating / max(self.set.instances, 1) if lane.rating else 1000.0
+
+    def admits(self, lane: Lane) -> bool:
+        rate = self._rate(lane)
+        lane.tokens = min(lane.tokens + (self.now - lane.tokens_at) * rate, max(rate, 1.0))
+        lane.tokens_at = self.now
+        return lane.tokens >= 1.0
+
+    def ready_at(self, lane: Lane) -> float:
+        return lane.tokens_at + max(1.0 - lane.tokens, 0.0) / self._rate(lane)
+
+    def spent(self, lane: Lane) -> None:
+        lane.tokens -= 1.0
+
+
+POLICIES: dict[str, Callable[[i.Settings, int], object]] = {
+    "nickelscale": Sender, "one-try": OneTry, "round-robin": RoundRobin, "least-outstanding": LeastOutstanding,
+    "aimd": Aimd, "gradient": Gradient, "token-bucket": TokenBucket,
+}  # fmt: skip
--- /dev/null
+++ b/tests/test_lab.py
@@ -0,0 +1,160 @@
+"""The lab: the same seed gives the same day, the rules are checked, and experiments outlast a kill."""
+
+from __future__ import annotations
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+from typer.testing import CliRunner
+
+from juniperward.cli.main import app
+from juniperward.lab.experiment import Busy, Result, Results, compare, one, sweep
+from juniperward.lab.policies import POLICIES, Baseline, OneTry
+from juniperward.lab.report import write
+from juniperward.lab.scenario import FOLDER, load, parse
+from juniperward.lab.world import World
+from juniperward.settings.load import SettingsError
+from nickelscale import interface as i
+
+SMALL = """
+shows: "a small day with an outage"
+seconds: 12 forwarders: 2 slots: 12 max_open: 100
+partners { count: 2 share: 0.6 workers: 2 latency: 0.06 rate: 20 batch: 5 }
+partners { count: 4 share: 0.4 latency: 0.05 }
+traffic { rate: 30 clumps: 0.2 clump: 6 again: 0.7 swing: 0.2 }
+trouble { kind: DOWN at: 3 seconds: 4 partner: 1 }
+"""
+
+
+def result(policy: str, seed: int, worth: float) -> Result:
+    lost, by_second = {"late": 0.1}, [[1.0, 0.9]]
+    return Result("s", "d", policy, seed, worth, 1, 1, 0, 0, 0.1, 0.2, 1, 0, 0, 0, 0, lost, by_second, 0.1, 5)
+
+
+class ScenarioTest(unittest.TestCase):
+    def test_all_of_the_library_are_good_and_say_what_they_show(self) -> None:
+        files = sorted(FOLDER.glob("*.textproto"))
+        self.assertGreaterEqual(len(files), 12)
+        for file in files:
+            self.assertGreater(len(load(file).shows), 20, file)
+
+    def test_faults_name_line_and_field(self) -> None:
+        for old, new, line, field in (
+            ("seconds: 12", "seconds: 0", 3, "seconds"),
+            ("count: 4", "count: 0", 5, "partners[1].count"),
+            ("partner: 1 }", "partner: 9 }", 7, "trouble[0].partner"),
+            ("kind: DOWN", "kind: NONE", 7, "trouble[0].kind"),
+            ("clumps: 0.2", "clumps: 2", 6, "traffic[0].clumps"),
+        ):
+            with self.subTest(field), self.assertRaises(SettingsError) as caught:
+                parse(SMALL.replace(old, new), "f.textproto")
+            self.assertIn((line, field), [(f.line, f.field) for f in caught.exception.faults])
+
+
+class WorldTest(unittest.TestCase):
+    def test_the_same_seed_gives_the_same_day(self) -> None:
+        def run(policy: str, seed: int) -> dict[str, Any]:
+            found = one(SMALL, "small", policy, seed)
+            return {f: getattr(found, f) for f in Result.__slots__ if f != "wall"}
+
+        for policy in POLICIES:
+            self.assertEqual(run(policy, 3), run(policy, 3), policy)
+        self.assertNotEqual(run("nickelscale", 3)["by_second"], run("nickelscale", 4)["by_second"])
+
+    def test_policies_of_one_seed_meet_the_same_arrivals(self) -> None:
+        asked = {p: [a for a, _ in one(SMALL, "small", p, 5).by_second] for p in POLICIES}
+        self.assertEqual(len({tuple(a) for a in asked.values()}), 1)
+
+    def test_our_module_keeps_the_rules_and_beats_one_try(self) -> None:
+        ours, least = one(SMALL, "small", "nickelscale", 1), one(SMALL, "small", "one-try", 1)
+        self.assertEqual((ours.second_effects, ours.waits_broken, ours.fallen), (0, 0, 0))
+        self.assertGreater(ours.worth, least.worth)
+        self.assertAlmostEqual(ours.worth + sum(ours.lost.values()), 1.0, places=6)
+
+    def test_a_policy_that_breaks_rules_is_seen(self) -> None:
+        class Rude(Baseline):
+            """Forgets told waits, and hammers."""
+
+            tries = 1000
+
+            def _settled(self, e: i.Settled) -> None:
+                super()._settled(e)
+                lane = self.lanes[self.home[e.endpoint]]
+                lane.wait_until = 0.0
+                if (m := self.held.get(e.message)) is not None:
+                    m.not_before, m.first_ran = self.now, None
+
+        text = SMALL.replace("kind: DOWN", "kind: SHUT").replace("rate: 30", "rate: 60")
+        found = World(parse(text, "s"), Rude, 1).run()
+        self.assertGreater(found.waits_broken, 10)
+        self.assertGreater(found.fallen, 0)
+
+    def test_every_message_has_one_end_with_every_policy(self) -> None:
+        for name, policy in POLICIES.items():
+            for kind in ("SILENT", "FAILING", "KILL", "SLOW", "HOT"):
+                text = SMALL.replace("kind: DOWN", f"kind: {kind}")
+                found = World(parse(text, "s"), policy, 2).run()
+                self.assertEqual(found.unended, 0, (name, kind))
+                self.assertEqual(found.second_effects, 0, (name, kind))
+
+
+class ExperimentTest(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+
+    def test_a_sweep_that_was_cut_off_goes_on_where_it_stood(self) -> None:
+        s = parse(SMALL, "small.textproto")
+        first = sweep(self.folder, [s], ["one-try"], [1, 2], 1)
+        file = self.folder / "results.jsonl"
+        whole = file.read_bytes()
+        file.write_bytes(whole[:-20])  # the second was torn by a kill
+        ran: list[int] = []
+        again = sweep(self.folder, [s], ["one-try"], [1, 2], 1, lambda done, total, r: ran.append(r.seed))
+        self.assertEqual([(r.seed, r.worth) for r in again], [(r.seed, r.worth) for r in first])
+        self.assertEqual(len(ran), 1)
+        sweep(self.folder, [s], ["one-try"], [1, 2], 1, lambda done, total, r: ran.append(r.seed))
+        self.assertEqual(len(ran), 1)
+
+    def test_two_in_one_folder_and_a_newer_or_older_result(self) -> None:
+        mine = Results(self.folder)
+        mine.add(result("a", 1, 0.5))
+        with self.assertRaises(Busy):
+            Results(self.folder)
+        mine.close()
+        again = Results(self.folder)
+        self.assertEqual(list(again.found.values()), [result("a", 1, 0.5)])
+        again.close()
+
+    def test_comparisons_are_paired_and_say_where_nothing_is_seen(self) -> None:
+        noise = [0.0, 0.1, 0.2, 0.3, 0.1, 0.2]
+        results = [result("nickelscale", n, 0.6 + x) for n, x in enumerate(noise)]
+        results += [result("worse", n, 0.55 + x) for n, x in enumerate(noise)]
+        results += [result("other", n, 0.6 + x) for n, x in enumerate(reversed(noise))]
+        (worse,) = compare(results, "nickelscale", "worse")
+        self.assertEqual((worse.says, round(worse.mean, 6), worse.seeds), ("nickelscale is better", 0.05, 6))
+        (other,) = compare(results, "nickelscale", "other")
+        self.assertEqual(other.says, "no difference seen")
+        page = self.folder / "page.html"
+        write(results, {"s": "x < y"}, page, "again")
+        text = page.read_text()
+        self.assertIn("<svg", text)
+        self.assertIn("x &lt; y", text)
+        self.assertNotIn("<script", text)
+
+    def test_the_tool(self) -> None:
+        file = self.folder / "small.textproto"
+        file.write_text(SMALL)
+        tool = CliRunner()
+        found = json.loads(tool.invoke(app, ["lab", "run", str(file), "-p", "one-try", "-o", "json"]).output)
+        self.assertEqual(found["worth"], one(SMALL, "small", "one-try", 1).worth)
+        words = ["lab", "sweep", str(file), "-p", "one-try", "--seeds", "1", "--processes", "1", "--out"]
+        self.assertEqual(tool.invoke(app, [*words, str(self.folder / "o")]).exit_code, 0)
+        self.assertIn("one-try", (self.folder / "o" / "table.md").read_text())
+        self.assertEqual(tool.invoke(app, ["lab", "run", str(file), "-p", "x"]).exit_code, 2)
+        self.assertIn("policies", tool.invoke(app, ["lab", "list"]).output)
+        self.assertIsInstance(OneTry.keeps_on, bool)
