End the tool with its exit code and a plain line where a word is wrong

Need: a wrong sub-command printed a traceback. Cause: the tool ran outside its framework's own handling of usage errors. Change: it runs inside; a test asks for exit codes 2 and 3 without a traceback.

--- a/juniperward/cli/main.py
+++ b/juniperward/cli/main.py
@@ -67,6 +67,6 @@
 
 
 def main() -> int:
-    """The exit code of what was asked for."""
-    result = app(standalone_mode=False)
-    return result if isinstance(result, int) else 0
+    """Run the tool; it ends the process with its own exit code where that is not 0."""
+    app()
+    return 0
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -38,6 +38,18 @@
         self.assertEqual(sorted(Path(f).name for f in ours), ["journal", "state"])
         self.assertEqual(state, ["journal"])
 
+    def test_a_wrong_word_is_told_without_a_traceback(self) -> None:
+        for words in (["dance"], ["fleet", "status", "--colour"], ["fleet", "status", "-a", "/none.textproto"]):
+            found = subprocess.run(
+                [sys.executable, "-m", "juniperward", *words], cwd=ROOT, capture_output=True, text=True
+            )
+            self.assertEqual(found.returncode, 2, found.stderr)
+            self.assertNotIn("Traceback", found.stderr)
+        found = subprocess.run(
+            [sys.executable, "-m", "juniperward", "fleet", "status", "-a", "/none.sock"], cwd=ROOT, capture_output=True
+        )
+        self.assertEqual(found.returncode, 3)
+
     def test_no_file_of_ours_has_grown_out_of_sight(self) -> None:
         sizes = {
             str(p.relative_to(ROOT)): len(p.read_text().splitlines())
