--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -46,8 +46,9 @@
             self.assertEqual(found.returncode, 2, found.stderr)
             self.assertNotIn("Traceback", found.stderr)
         found = subprocess.run(
-            [sys.executable, "-m", "juniperward", "fleet", "status", "-a", "/none.sock"], cwd=ROOT, capture_output=True
-        )
+            [sys.executable, "-m", "juniperward", "fleet", "status", "-a", "/none.sock"],
+            cwd=ROOT, capture_output=True,
+        )  # fmt: skip
         self.assertEqual(found.returncode, 3)
 
     def test_no_file_of_ours_has_grown_out_of_sight(self) -> None:
