--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -47,7 +47,7 @@
             self.assertNotIn("Traceback", found.stderr)
         found = subprocess.run(
             [sys.executable, "-m", "juniperward", "fleet", "status", "-a", "/none.sock"],
-            cwd=ROOT, capture_output=True,
+            cwd=ROOT, capture_output=True, text=True,
         )  # fmt: skip
         self.assertEqual(found.returncode, 3)
 
