--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -112,10 +112,11 @@
             editions.read(first, "n9")
 
     def test_generated_code_is_not_stale(self) -> None:
-        here = ROOT / "juniperward" / "settings"
-        subprocess.run(
-            [sys.executable, "-m", "grpc_tools.protoc", f"-I{here}", f"--python_out={self.folder}",
-             f"--pyi_out={self.folder}", "fleet.proto"], check=True,
-        )  # fmt: skip
-        for name in ("fleet_pb2.py", "fleet_pb2.pyi"):
-            self.assertEqual((self.folder / name).read_text(), (here / name).read_text(), f"{name} is stale")
+        for package, name in (("settings", "fleet"), ("lab", "scenario")):
+            here = ROOT / "juniperward" / package
+            subprocess.run(
+                [sys.executable, "-m", "grpc_tools.protoc", f"-I{here}", f"--python_out={self.folder}",
+                 f"--pyi_out={self.folder}", f"{name}.proto"], check=True,
+            )  # fmt: skip
+            for file in (f"{name}_pb2.py", f"{name}_pb2.pyi"):
+                self.assertEqual((self.folder / file).read_text(), (here / file).read_text(), f"{file} is stale")
