--- a/nickelscale/rules.py
+++ b/nickelscale/rules.py
@@ -552,7 +552,7 @@
 
         In any FallMs all nodes may send B = ColdShare x FallMultiple x capacity, none knowing of the return.
         Parts (`_usual`) add up to the capacity: calls spaced by part x ColdShare x FallMultiple, at random
-        phases, make B: TRIAL_PART of it trials, the rest the call after a good one; so a return is learned of.
+        phases, make B: TRIAL_PART of it trials, the rest the call after a good one; a return is learned so.
         """
         cold, span, warm = self.set.cold_share, self.set.fall_span, self.set.warm_within
         if trial and not route.sick and route.cold_since is None:
