--- a/juniperward/cli/lab.py
+++ b/juniperward/cli/lab.py
@@ -154,3 +154,59 @@
     shows = {s.name: s.shows for s in _scenarios(files)}
     write(results, shows, file, f"juniperward lab report {file} --seeds {seeds}")
     console.print(f"{file}: {len(results)} runs", markup=False)
+
+
+@app.command()
+def replay(
+    scenario: Annotated[str, typer.Argument(help="A scenario's name, as in the results.")],
+    policy: Annotated[str, typer.Option("--policy", "-p")] = "nickelscale",
+    seed: Annotated[int, typer.Option()] = 1,
+    out: OutOption = Path("lab.run"),
+) -> None:
+    """Run one kept result again from its own text. Exit code 1, and what differs, if it comes out otherwise."""
+    from juniperward.lab.experiment import read_parquet, revision
+    from juniperward.lab.experiment import replay as again
+
+    try:
+        rows = read_parquet(out / "results.parquet")
+        wanted = [r for r in rows if (r.scenario, r.policy, r.seed) == (scenario, policy, seed)]
+        if not wanted:
+            raise ValueError(f"{out}: no result of {scenario} under {policy} with seed {seed}")
+        differs = again(wanted[-1])
+    except (OSError, ValueError) as error:
+        errors.print(str(error), markup=False)
+        raise typer.Exit(REFUSED) from None
+    console.print(f"then: {wanted[-1].revision} on {wanted[-1].machine}", markup=False, highlight=False)
+    console.print(f"now:  {revision()}", markup=False, highlight=False)
+    for field, (then, now) in differs.items():
+        console.print(f"{field}: {str(then)[:60]} then, {str(now)[:60]} now", markup=False)
+    console.print("the same" if not differs else f"{len(differs)} figures differ")
+    raise typer.Exit(REFUSED if differs else 0)
+
+
+@app.command()
+def hunt(
+    rounds: Annotated[int, typer.Option(help="Days to play.")] = 200,
+    policy: Annotated[str, typer.Option("--policy", "-p")] = "nickelscale",
+    seed: Annotated[int, typer.Option()] = 1,
+    keep_: Annotated[int, typer.Option("--keep", help="So many of the worst are made small and kept.")] = 2,
+    folder: Annotated[Path, typer.Option(help="Where they are kept.")] = Path("scenarios/found"),
+    processes: ProcessesOption = None,
+) -> None:
+    """Look for days on which a policy keeps much less than the oracle; make the worst small, and keep them."""
+    from juniperward.lab.hunt import hunt as search
+    from juniperward.lab.hunt import keep, shrink
+
+    (chosen,) = _policies([policy])
+    with Progress(console=errors, transient=True) as progress:
+        task = progress.add_task("days", total=rounds)
+        worst = search(
+            chosen, rounds, seed, processes,
+            lambda done, found: progress.update(task, completed=done, description=f"regret {found.regret:.3f}"),
+        )  # fmt: skip
+    for found in worst[:keep_]:
+        small = shrink(found, chosen)
+        file = keep(small, chosen, folder)
+        console.print(
+            f"{file}: regret {found.regret:.3f}, made small {small.regret:.3f}; seed {small.seed}", markup=False
+        )
--- a/juniperward/lab/experiment.py
+++ b/juniperward/lab/experiment.py
@@ -1,16 +1,20 @@
 """Experiments: runs spread over processes, kept as they end, compared by seed.
 
-A result is a line of JSON in `results.jsonl` of the experiment's folder, with all that is needed to repeat it. What
-is there already is not run again, so an experiment that was killed goes on where it stood.
+While an experiment runs, a result is a line of JSON in `results.jsonl` of its folder, with all that is needed to
+repeat it. What is there already is not run again, so an experiment that was killed goes on where it stood. Once all
+has run, the same rows are written whole as `results.parquet`, for other tools.
 """
 
 from __future__ import annotations
 
 import concurrent.futures
 import fcntl
+import functools
 import hashlib
 import json
 import os
+import platform
+import subprocess
 import time
 import zlib
 from collections.abc import Callable, Iterable
@@ -19,13 +23,15 @@
 from typing import Any
 
 import numpy as np
+import pyarrow
+from pyarrow import parquet
 from scipy import stats
 
 from juniperward.lab.policies import POLICIES
 from juniperward.lab.scenario import Scenario, parse
 from juniperward.lab.world import World
 
-VERSION = 1
+VERSION = 2  # 1 had neither the scenario's text nor where and from what it was run
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +58,9 @@
     by_second: list[list[float]]
     wall: float
     events: int
+    text: str = ""  # of the scenario
+    revision: str = ""  # of the sources; a + at its end: with changes that were not committed
+    machine: str = ""
     v: int = VERSION
 
     @property
@@ -74,10 +83,62 @@
         scenario.name, digest(scenario), policy, seed, r.worth, r.asked, r.delivered, r.refused, r.failed,
         float(np.quantile(latencies, 0.5)), float(np.quantile(latencies, 0.99)), r.calls, r.calls_refused,
         r.second_effects, r.waits_broken, r.fallen, r.lost, [list(x) for x in r.by_second],
-        time.monotonic() - began, r.events,
+        time.monotonic() - began, r.events, text, revision(), machine(),
     )  # fmt: skip
 
 
+@functools.cache
+def revision() -> str:
+    """What the sources are, by git; empty where that cannot be said."""
+    try:
+        here = str(Path(__file__).parent)
+        words = ["git", "-C", here, "describe", "--always", "--abbrev=12", "--dirty=+", "--exclude=*"]
+        return subprocess.run(words, capture_output=True, text=True, timeout=10.0, check=True).stdout.strip()
+    except (OSError, subprocess.SubprocessError):
+        return ""
+
+
+def machine() -> str:
+    """What an experiment runs on."""
+    return f"{os.cpu_count()} cores, Python {platform.python_version()}, numpy {np.__version__}"
+
+
+FIGURES = (
+    "worth", "asked", "delivered", "refused", "failed", "median", "p99", "calls", "calls_refused", "second_effects",
+    "waits_broken", "fallen", "lost", "by_second", "events",
+)  # fmt: skip
+
+
+def replay(result: Result) -> dict[str, tuple[Any, Any]]:
+    """Run a kept result once more from its own text: what came out otherwise, then and now. Raises ValueError."""
+    if not result.text:
+        raise ValueError("a result of version 1 has no text of its scenario: it cannot be replayed")
+    again = one(result.text, f"{result.scenario}.textproto", result.policy, result.seed)
+    pairs = {f: (getattr(result, f), getattr(again, f)) for f in FIGURES}
+    return {f: (a, b) for f, (a, b) in pairs.items() if a != b}
+
+
+def write_parquet(file: Path, results: Iterable[Result]) -> None:
+    """Write results whole, in place of what was there; raises OSError."""
+    rows = [{f: getattr(r, f) for f in Result.__slots__} for r in results]
+    for row in rows:
+        row["lost"] = [{"why": why, "share": share} for why, share in row["lost"].items()]
+    fresh = file.with_suffix(".new")
+    parquet.write_table(pyarrow.Table.from_pylist(rows), fresh, compression="zstd")
+    fresh.replace(file)
+
+
+def read_parquet(file: Path) -> list[Result]:
+    """The results of a file, of this version or an older one; raises OSError or ValueError."""
+    found = []
+    for row in parquet.read_table(file).to_pylist():
+        if row["v"] > VERSION:
+            raise ValueError(f"{file}: written by version {row['v']}; this one reads up to {VERSION}")
+        row["lost"] = {x["why"]: x["share"] for x in row["lost"]}
+        found.append(Result(**{k: v for k, v in row.items() if k in Result.__slots__}))
+    return found
+
+
 class Busy(Exception):
     """Another experiment writes to this folder."""
 
@@ -147,6 +208,7 @@
             except concurrent.futures.process.BrokenProcessPool:
                 if attempt:
                     raise
+        write_parquet(folder / "results.parquet", results.found.values())
         return [results.found[digest(s), p, n] for s, p, n in asked]
     finally:
         results.close()
--- a/juniperward/lab/policies.py
+++ b/juniperward/lab/policies.py
@@ -12,7 +12,9 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from typing import Any
 
+from juniperward.lab.sight import Sight
 from nickelscale import Sender
 from nickelscale import interface as i
 
@@ -266,7 +268,50 @@
         lane.tokens -= 1.0
 
 
-POLICIES: dict[str, Callable[[i.Settings, int], object]] = {
+class Oracle(Baseline):
+    """Sees the true state of every partner, but not the future: the top that others are measured against.
+
+    It never sends a call that would be refused, fail or wait at a partner, and spends what a partner takes on
+    messages that can still be on time. A policy that `sees` is made with what it sees.
+    """
+
+    sees = Sight
+    tries = 1000
+    poll = 0.02  # seconds between its looks at partners that something waits for
+
+    def __init__(self, settings: i.Settings, seed: int, sight: Sight) -> None:
+        super().__init__(settings, seed)
+        self.sight = sight
+        self.shared: dict[int, tuple[float, int]] = {}  # the call that others may join: its moment, its room
+
+    def _release(self, partner: int, lane: Lane, actions: list[i.Action]) -> None:
+        aim = self.set.classes[0].deadline - self.set.classes[0].aim
+        held = self.held
+        lane.queue = deque(sorted(
+            (n for n in lane.queue if n in held and not held[n].out),
+            key=lambda n: (held[n].expires - aim < self.now, held[n].expires),
+        ))  # fmt: skip
+        for n in lane.queue:
+            held[n].not_before = 0.0
+        super()._release(partner, lane, actions)
+
+    def choose(self, lane: Lane, m: Held) -> int | None:
+        for endpoint in lane.endpoints:
+            at, room = self.shared.get(endpoint, (-1.0, 0))
+            if at == self.now and room > 0:
+                self.shared[endpoint] = (at, room - 1)
+                return endpoint
+        for endpoint in sorted(lane.endpoints, key=lambda x: (lane.out.get(x, 0), x)):
+            if self.sight.might_serve(endpoint):
+                self.shared[endpoint] = (self.now, self.sight.batch(endpoint) - 1)
+                return endpoint
+        return None
+
+    def ready_at(self, lane: Lane) -> float:
+        return self.now + self.poll
+
+
+POLICIES: dict[str, Callable[..., Any]] = {
     "nickelscale": Sender, "one-try": OneTry, "round-robin": RoundRobin, "least-outstanding": LeastOutstanding,
-    "aimd": Aimd, "gradient": Gradient, "token-bucket": TokenBucket,
+    "aimd": Aimd, "gradient": Gradient, "token-bucket": TokenBucket, "oracle": Oracle,
 }  # fmt: skip
--- a/juniperward/lab/world.py
+++ b/juniperward/lab/world.py
@@ -112,7 +112,8 @@
         return self.capacity() * min(1.0, COLD + (1 - COLD) * (now - self.back_at) / WARM)
 
 
-Policy = Callable[[i.Settings, int], Any]  # makes what has handle(now, events) -> actions
+# Of settings and a seed, and of the world for one that `sees` it; makes what has handle(now, events) -> actions.
+Policy = Callable[..., Any]
 
 
 @dataclass(slots=True)
@@ -158,6 +159,8 @@
 
     def __init__(self, scenario: Scenario, policy: Policy, seed: int) -> None:
         self.s, self.policy = scenario, policy
+        sees = getattr(policy, "sees", None)
+        self.seen = sees(self) if sees is not None else None
         streams = np.random.SeedSequence(seed).spawn(len(STREAMS))
         self.draw = {name: Draw(stream) for name, stream in zip(STREAMS, streams, strict=True)}
         self.now, self.serial = 0.0, 0
@@ -266,7 +269,8 @@
 
     def _start(self, f: Forwarder) -> None:
         f.up = True
-        f.sender = self.policy(self.settings, int(self.draw["modules"].source.integers(2**31)))
+        seed = int(self.draw["modules"].source.integers(2**31))
+        f.sender = self.policy(self.settings, seed, *((self.seen,) if self.seen is not None else ()))
         entries = tuple(
             i.Endpoint(w.number, p.number, i.Phase.READY, p.kind, 0, float(p.spec.rate))
             for p in self.partners for w in p.workers
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -2,16 +2,31 @@
 
 from __future__ import annotations
 
+import dataclasses
 import json
+import random
 import tempfile
 import unittest
+import zlib
 from pathlib import Path
 from typing import Any
 
+from google.protobuf import text_format
 from typer.testing import CliRunner
 
 from juniperward.cli.main import app
-from juniperward.lab.experiment import Busy, Result, Results, compare, one, sweep
+from juniperward.lab.experiment import (
+    Busy,
+    Result,
+    Results,
+    compare,
+    one,
+    read_parquet,
+    replay,
+    sweep,
+    write_parquet,
+)
+from juniperward.lab.hunt import Found, hunt, invent, judge, keep, mutate, shrink, sound
 from juniperward.lab.policies import POLICIES, Baseline, OneTry
 from juniperward.lab.report import write
 from juniperward.lab.scenario import FOLDER, load, parse
@@ -101,6 +116,46 @@
                 self.assertEqual(found.second_effects, 0, (name, kind))
 
 
+class OracleTest(unittest.TestCase):
+    def test_it_keeps_the_rules_and_none_does_much_better(self) -> None:
+        for kind in ("DOWN", "SHUT"):
+            text = SMALL.replace("kind: DOWN", f"kind: {kind}").replace("rate: 30", "rate: 60")
+            top = one(text, "small", "oracle", 1)
+            self.assertEqual((top.second_effects, top.waits_broken, top.fallen), (0, 0, 0), kind)
+            for policy in POLICIES:
+                self.assertLess(one(text, "small", policy, 1).worth, top.worth + 0.005, (kind, policy))
+
+
+class HuntTest(unittest.TestCase):
+    def test_the_same_seed_finds_the_same_days_and_all_are_sound(self) -> None:
+        def days(seed: int) -> list[str | None]:
+            dice = random.Random(seed)
+            made = [invent(dice) for _ in range(30)]
+            return [sound(m) for m in made] + [sound(mutate(text_format.MessageToString(m), dice)) for m in made]
+
+        self.assertEqual(days(1), days(1))
+        self.assertNotEqual(days(1), days(2))
+        self.assertGreater(len([d for d in days(1) if d]), 50)
+
+    def test_a_policy_with_a_planted_fault_is_found_out_and_its_day_made_small(self) -> None:
+        found = hunt("one-try", 3, 7, 1)
+        self.assertEqual([f.regret for f in found], sorted((f.regret for f in found), reverse=True))
+        text = SMALL + "trouble { kind: SLOW at: 1 seconds: 2 partner: 4 }"
+        text += "trouble { kind: HOT at: 2 seconds: 2 partner: 3 }"
+        bad = judge(text, "one-try", 1)
+        self.assertGreater(bad.regret, 0.01)
+        small = shrink(bad, "one-try", most=12)
+        self.assertGreaterEqual(small.regret, 0.8 * bad.regret)
+        self.assertLess(small.text.count("trouble"), 3)
+        with tempfile.TemporaryDirectory() as folder:
+            file = keep(small, "one-try", Path(folder))
+            self.assertIn("found by the hunt", load(file).shows)
+            self.assertNotEqual(keep(small, "one-try", Path(folder)), file)
+
+    def test_a_broken_rule_counts_for_more_than_any_worth(self) -> None:
+        self.assertGreater(Found("", 1, 1.0, 1.0, 1).regret, Found("", 1, 0.0, 1.0, 0).regret)
+
+
 class ExperimentTest(unittest.TestCase):
     def setUp(self) -> None:
         folder = tempfile.TemporaryDirectory()
@@ -130,6 +185,36 @@
         self.assertEqual(list(again.found.values()), [result("a", 1, 0.5)])
         again.close()
 
+    def test_parquet_has_all_that_is_needed_to_repeat_a_run(self) -> None:
+        s = parse(SMALL, "small.textproto")
+        sweep(self.folder, [s], ["nickelscale", "oracle"], [1], 1)
+        kept = read_parquet(self.folder / "results.parquet")
+        self.assertEqual([(r.text, r.policy) for r in kept], [(SMALL, "nickelscale"), (SMALL, "oracle")])
+        self.assertIn("cores", kept[0].machine)
+        self.assertEqual(replay(kept[0]), {})
+        tampered = dataclasses.replace(kept[0], worth=0.5)
+        self.assertEqual(replay(tampered), {"worth": (0.5, kept[0].worth)})
+        words = ["lab", "replay", "small", "-p", "oracle", "--out", str(self.folder)]
+        told = CliRunner().invoke(app, words)
+        self.assertEqual((told.exit_code, "the same" in told.output), (0, True))
+        self.assertEqual(CliRunner().invoke(app, ["lab", "replay", "x", "--out", str(self.folder)]).exit_code, 1)
+
+    def test_results_of_the_first_version_are_still_read_and_newer_ones_are_refused(self) -> None:
+        old = {f: getattr(result("a", 1, 0.5), f) for f in Result.__slots__} | {"v": 1}
+        for field in ("text", "revision", "machine"):
+            del old[field]
+        text = json.dumps(old).encode()
+        (self.folder / "results.jsonl").write_bytes(b"%08x %s\n" % (zlib.crc32(text), text))
+        found = Results(self.folder)
+        (row,) = found.found.values()
+        found.close()
+        self.assertEqual((row.v, row.worth, row.text), (1, 0.5, ""))
+        with self.assertRaises(ValueError):
+            replay(row)
+        write_parquet(self.folder / "r.parquet", [dataclasses.replace(row, v=99)])
+        with self.assertRaisesRegex(ValueError, "written by version 99"):
+            read_parquet(self.folder / "r.parquet")
+
     def test_comparisons_are_paired_and_say_where_nothing_is_seen(self) -> None:
         noise = [0.0, 0.1, 0.2, 0.3, 0.1, 0.2]
         results = [result("nickelscale", n, 0.6 + x) for n, x in enumerate(noise)]
