--- /dev/null
+++ b/juniperward/rigs/agreement.py
@@ -0,0 +1,188 @@
+"""The lab's model against real sockets: the same scenarios under the same policies, both ways.
+
+On sockets a scenario is played by the stand-ins against real forwarders under an agent. Another policy than our
+module takes its place inside a forwarder by a wrapper that only this rig puts on the path; everything round it
+(sockets, journal, reducer) stays what it is.
+"""
+
+from __future__ import annotations
+
+import concurrent.futures
+import os
+import tempfile
+import threading
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+from juniperward.lab.experiment import one
+from juniperward.lab.scenario import FOLDER, Scenario, Trouble, load
+from juniperward.rigs.measure import Report
+from juniperward.rigs.yard import ACCOUNTS, Yard
+from juniperward.standins.checker import Bounds
+from juniperward.standins.clients import Clients, Traffic
+from juniperward.standins.partners import PartnerSpec
+
+SCENARIOS = ("calm", "outage", "fast-errors", "shut", "silent", "overload")
+POLICIES = ("nickelscale", "round-robin", "one-try")
+MODES = {"DOWN": "down", "FAILING": "failing", "SHUT": "shut", "SILENT": "silent"}
+WITHIN = 0.03  # of worth, that model and sockets may differ by
+APART = 0.01  # policies closer than this in either are not ordered
+AT_ONCE = 3  # yards at a time
+WRAPPER = '''
+import juniperward.forwarder.reducer as reducer
+from juniperward.lab.policies import POLICIES
+from nickelscale import Sender, interface as i
+
+class Other(Sender):
+    """Another policy in our module's place; it asks for the list as ours does."""
+
+    def __init__(self, settings, seed):
+        super().__init__(settings, seed)
+        self.inner, self.asked = POLICIES["{policy}"](settings, seed), False
+
+    def handle(self, now, events):
+        events = list(events)
+        lost = any(isinstance(e, i.Listed) and e.scope is i.ListScope.FAILED for e in events)
+        events = [e for e in events if not (isinstance(e, i.Listed) and e.scope is i.ListScope.FAILED)]
+        actions = self.inner.handle(now, events)
+        if lost or not self.asked:
+            self.asked = True
+            actions = [i.Watch(), *actions]
+        return actions
+
+reducer.Sender = Other
+'''
+
+
+def playable(s: Scenario) -> bool:
+    """Whether the stand-ins have all that a scenario asks for."""
+    return all(t.kind in MODES for t in s.troubles)
+
+
+def specs(s: Scenario) -> list[PartnerSpec]:
+    """A scenario's partners as the stand-ins have them."""
+    made: list[PartnerSpec] = []
+    for number, g in enumerate(s.partners):
+        for _ in range(g.count):
+            made.append(PartnerSpec(
+                len(made) + 1, f"kind-{number}", g.workers, g.latency, g.spread, g.at_once, g.queue, g.rate,
+                g.tells_wait, g.batch, s.traffic.window,
+            ))  # fmt: skip
+    return made
+
+
+@contextmanager
+def wrapped(policy: str, folder: Path) -> Iterator[None]:
+    """Forwarders that are started meanwhile decide by this policy."""
+    before = os.environ.get("PYTHONPATH")
+    if policy != "nickelscale":
+        (folder / "sitecustomize.py").write_text(WRAPPER.format(policy=policy))
+        os.environ["PYTHONPATH"] = os.pathsep.join([str(folder), *([before] if before else [])])
+    try:
+        yield
+    finally:
+        if before is None:
+            os.environ.pop("PYTHONPATH", None)
+        else:
+            os.environ["PYTHONPATH"] = before
+
+
+def on_sockets(name: str, policy: str, seed: int) -> tuple[float, float, int]:
+    """Play a scenario on sockets: worth, how late the rig was (p99, seconds), and rules that were broken."""
+    s = load(FOLDER / f"{name}.textproto")
+    t = s.traffic
+    with tempfile.TemporaryDirectory(prefix="jw-") as place, wrapped(policy, Path(place)):
+        yard = Yard(Path(place), s.forwarders, specs(s), seed)
+        settings = yard.base["settings"]
+        settings["Services"][0] |= {
+            "AimMs": 1000 * t.aim, "DeadlineMs": 1000 * t.deadline, "LateWorth": t.late_worth,
+            "WindowMs": 1000 * t.window,
+        }  # fmt: skip
+        settings["Limits"]["MaxOpen"], settings["Specifics"]["MaxCalls"] = s.max_open, s.slots
+        settings["Weights"] = "nominal" if any(g.rate for g in s.partners) else "none"
+        settings["Kinds"] = [f"kind-{n}" for n in range(len(s.partners))]
+        settings["Specifics"]["BatchByKind"] = [g.batch for g in s.partners]
+        settings["Specifics"]["RoutesApart"] = [False] * len(s.partners)
+        with yard:
+            yard.start()
+            clients = _clients(yard, s, seed)
+            began = time.monotonic()
+            for trouble in s.troubles:
+                threading.Thread(target=_trouble, args=(yard, trouble, began), daemon=True).start()
+            clients.done.wait(s.seconds + 2 * t.deadline)
+            time.sleep(max(began + s.seconds + t.deadline + 1.0 - time.monotonic(), 0.0))
+            v = yard.verdict(Bounds(aim=t.aim, deadline=t.deadline, late_worth=t.late_worth))
+            late = sorted(clients.lateness)
+            return v.worth, late[int(0.99 * len(late))] if late else 0.0, len(v.violations)
+
+
+def _clients(yard: Yard, s: Scenario, seed: int) -> Clients:
+    """Open-loop clients with the scenario's weights; clumps are not played."""
+    weights: list[tuple[int, float]] = []
+    for g in s.partners:
+        weights += [(len(weights) + 1 + n, g.share / g.count) for n in range(g.count)]
+    t = s.traffic
+    traffic = Traffic(t.rate, tuple(weights), ACCOUNTS, deadline=t.deadline, tries=2 if t.again else 1)
+    clients = Clients(traffic, yard.front, yard.recorder, seed, 64)
+    clients.start(s.seconds)
+    return clients
+
+
+def _trouble(yard: Yard, t: Trouble, began: float) -> None:
+    time.sleep(max(began + t.at - time.monotonic(), 0.0))
+    for p in t.partner:
+        yard.partners[p].trouble(MODES[t.kind], t.seconds, t.size)
+    time.sleep(t.seconds)
+    for p in t.partner:
+        yard.partners[p].trouble("well")
+
+
+def _both(name: str, policy: str, seed: int) -> tuple[str, str, float, float, float, int]:
+    worth, late, broken = on_sockets(name, policy, seed)
+    s = load(FOLDER / f"{name}.textproto")
+    text = s.text.replace("again: 0.7", "again: 1.0")  # the stand-ins' clients always come once more
+    model = one(text, f"{name}.textproto", policy, seed).worth
+    return name, policy, worth, model, late, broken
+
+
+def ordered_alike(found: list[tuple[Any, ...]]) -> list[str]:
+    """Pairs of policies that model and sockets put in different orders, where both put them APART."""
+    wrong = []
+    for name in dict.fromkeys(f[0] for f in found):
+        rows = [f for f in found if f[0] == name]
+        for a in rows:
+            for b in rows:
+                sockets, model = a[2] - b[2], a[3] - b[3]
+                if sockets > APART and model < -APART:
+                    wrong.append(f"{name}: {a[1]} is above {b[1]} on sockets, below it in the model")
+    return wrong
+
+
+def agreement(seed: int, out: Path, rounds: int = 0) -> bool:
+    """Six scenarios, three policies; worth on sockets and in the model, and whether they order policies alike."""
+    report = Report("The model against sockets", f"juniperward measure agreement --seed {seed}", seed)
+    jobs = [(s, p) for s in SCENARIOS for p in POLICIES][: rounds or None]
+    with concurrent.futures.ProcessPoolExecutor(AT_ONCE) as pool:
+        runs = [pool.submit(_both, s, p, seed) for s, p in jobs]
+        found = []
+        for run in runs:
+            found.append(run.result())
+            print(found[-1], flush=True)
+    rows = []
+    for name, policy, sockets, model, late, broken in found:
+        near = "yes" if abs(sockets - model) <= WITHIN else "no"
+        rows.append([
+            name, policy, f"{sockets:.4f}", f"{model:.4f}", f"{sockets - model:+.4f}", near, f"{1000 * late:.0f}",
+            f"{broken}",
+        ])  # fmt: skip
+    report.table(
+        ["scenario", "policy", "worth on sockets", "in the model", "difference", f"within {WITHIN:g}",
+         "rig late p99 ms", "rules broken on sockets"], rows,
+    )  # fmt: skip
+    wrong = ordered_alike(found)
+    report.say("Policies in different orders: " + ("; ".join(wrong) if wrong else "none") + ".")
+    report.write(out / "agreement.md")
+    return not wrong and all(r[5] == "yes" for r in rows)
