--- a/juniperward/rigs/agreement.py
+++ b/juniperward/rigs/agreement.py
@@ -30,7 +30,7 @@
 MODES = {"DOWN": "down", "FAILING": "failing", "SHUT": "shut", "SILENT": "silent"}
 WITHIN = 0.03  # of worth, that model and sockets may differ by
 APART = 0.01  # policies closer than this in either are not ordered
-AT_ONCE = 3  # yards at a time
+AT_ONCE = 6  # yards at a time
 WRAPPER = '''
 import juniperward.forwarder.reducer as reducer
 from juniperward.lab.policies import POLICIES
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -15,7 +15,7 @@
 from juniperward.forwarder.config import Names
 from juniperward.forwarder.messages import Answered, Call, Delegate, End, Event, Parcel
 from juniperward.forwarder.server import Client, Server
-from juniperward.forwarder.workers import Workers, read_ends, read_wait
+from juniperward.forwarder.workers import Kept, Workers, read_ends, read_wait
 from juniperward.net.http import Broken, HttpCall, Malformed, Response, Stream, read_call, read_response
 from nickelscale.interface import Outcome
 
@@ -256,6 +256,22 @@
         self.assertEqual(event, Answered(2, (End(0, Outcome.OK),)))
         sock.close()
 
+    def test_a_connection_that_has_rested_is_used_before_one_that_must_still_rest(self) -> None:
+        # Guards against 10 ms of sleep in each call of a worker that is called again at once.
+        kept = {}
+        for name, ago in (("eldest", 1.0), ("rested", 0.5), ("resting", -0.5)):
+            ours, theirs = socket.socketpair()
+            self.addCleanup(theirs.close)
+            self.addCleanup(ours.close)
+            k = kept[name] = Kept(ours, ("w", 1))
+            k.used -= ago
+        self.workers.idle[3] = list(kept.values())
+        slept: list[float] = []
+        with mock.patch("juniperward.forwarder.workers.time.sleep", slept.append):
+            taken = [self.workers._take_idle(3, ("w", 1)) for _ in range(3)]
+        self.assertEqual(taken, [kept["rested"], kept["eldest"], kept["resting"]])
+        self.assertEqual(len(slept), 1)  # only where nothing else was left
+
     def test_an_idle_connection_that_its_worker_ended_is_not_used(self) -> None:
         # Guards against a reset that costs an attempt: the close is seen before the call is written.
         for number in (1, 2):
