--- a/juniperward/lab/world.py
+++ b/juniperward/lab/world.py
@@ -77,6 +77,7 @@
     partner: int
     busy: int = 0
     queue: deque[Attempt] = field(default_factory=deque)
+    hung: list[Attempt] = field(default_factory=list)  # that a silent worker has taken, and never answers
 
 
 @dataclass(slots=True)
@@ -384,14 +385,15 @@
         if p.mode == "DOWN":
             self._answer(f, call, i.Outcome.CONNECT_FAILED)
             return
-        if p.mode == "SILENT":
-            return
         wait = self._full(p, w)
         if wait is not None:
             p.refused += 1
             self.result.calls_refused += 1
             self._answer(f, call, i.Outcome.FULL, wait)
             return
+        if p.mode == "SILENT":
+            w.hung.append(call)
+            return
         if p.mode == "FAILING" and self.draw["refusals"].uniform() < p.size:
             self._answer(f, call, i.Outcome.ERROR)
             return
@@ -420,7 +422,8 @@
             if len(span) >= limit:
                 return span[0] + 1.0 - now if told else 0.0
             span.append(now)
-        return 0.0 if w.busy >= spec.at_once and len(w.queue) >= spec.queue else None
+        taken = w.busy + len(w.queue) + len(w.hung)
+        return 0.0 if taken >= spec.at_once + spec.queue else None
 
     def _serve(self, f: Forwarder, call: Attempt, w: Worker, p: Partner) -> None:
         w.busy += 1
@@ -468,6 +471,14 @@
             else:
                 p.mode, p.size = "", 1.0
                 p.back_at = None if kind == "SLOW" else self.now
+                self._let_go(p)
+
+    def _let_go(self, p: Partner) -> None:
+        """What hung at a silent partner ends with its connections, as on sockets."""
+        for w in p.workers:
+            for call in w.hung:
+                self._answer(self.forwarders[call.forwarder], call, i.Outcome.RESET)
+            w.hung = []
 
     def _kill(self, f: Forwarder) -> None:
         """Its process dies; its journal has what it held, which comes back with its next life."""
--- a/juniperward/rigs/agreement.py
+++ b/juniperward/rigs/agreement.py
@@ -90,8 +90,8 @@
             os.environ["PYTHONPATH"] = before
 
 
-def on_sockets(name: str, policy: str, seed: int) -> tuple[float, float, int]:
-    """Play a scenario on sockets: worth, how late the rig was (p99, seconds), and rules that were broken."""
+def on_sockets(name: str, policy: str, seed: int) -> tuple[float, float, int, int]:
+    """Play a scenario on sockets: worth, how late the rig was (p99, seconds), rules broken, partners fallen over."""
     s = load(FOLDER / f"{name}.textproto")
     t = s.traffic
     with tempfile.TemporaryDirectory(prefix="jw-") as place, wrapped(policy, Path(place)):
@@ -116,7 +116,8 @@
             time.sleep(max(began + s.seconds + t.deadline + 1.0 - time.monotonic(), 0.0))
             v = yard.verdict(Bounds(aim=t.aim, deadline=t.deadline, late_worth=t.late_worth))
             late = sorted(clients.lateness)
-            return v.worth, late[int(0.99 * len(late))] if late else 0.0, len(v.violations)
+            fallen = sum(p.fallen for p in yard.partners.values())
+            return v.worth, late[int(0.99 * len(late))] if late else 0.0, len(v.violations), fallen
 
 
 def _clients(yard: Yard, s: Scenario, seed: int) -> Clients:
@@ -140,12 +141,12 @@
         yard.partners[p].trouble("well")
 
 
-def _both(name: str, policy: str, seed: int) -> tuple[str, str, float, float, float, int]:
-    worth, late, broken = on_sockets(name, policy, seed)
+def _both(name: str, policy: str, seed: int) -> tuple[str, str, float, float, float, int, str]:
+    worth, late, broken, fallen = on_sockets(name, policy, seed)
     s = load(FOLDER / f"{name}.textproto")
     text = s.text.replace("again: 0.7", "again: 1.0")  # the stand-ins' clients always come once more
-    model = one(text, f"{name}.textproto", policy, seed).worth
-    return name, policy, worth, model, late, broken
+    model = one(text, f"{name}.textproto", policy, seed)
+    return name, policy, worth, model.worth, late, broken, f"{fallen}, {model.fallen}"
 
 
 def ordered_alike(found: list[tuple[Any, ...]]) -> list[str]:
@@ -172,15 +173,15 @@
             found.append(run.result())
             print(found[-1], flush=True)
     rows = []
-    for name, policy, sockets, model, late, broken in found:
+    for name, policy, sockets, model, late, broken, fallen in found:
         near = "yes" if abs(sockets - model) <= WITHIN else "no"
         rows.append([
             name, policy, f"{sockets:.4f}", f"{model:.4f}", f"{sockets - model:+.4f}", near, f"{1000 * late:.0f}",
-            f"{broken}",
+            f"{broken}", fallen,
         ])  # fmt: skip
     report.table(
         ["scenario", "policy", "worth on sockets", "in the model", "difference", f"within {WITHIN:g}",
-         "rig late p99 ms", "rules broken on sockets"], rows,
+         "rig late p99 ms", "rules broken on sockets", "partners fallen: sockets, model"], rows,
     )  # fmt: skip
     wrong = ordered_alike(found)
     report.say("Policies in different orders: " + ("; ".join(wrong) if wrong else "none") + ".")
