--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -27,7 +27,7 @@
     write_parquet,
 )
 from juniperward.lab.hunt import Found, hunt, invent, judge, keep, mutate, shrink, sound
-from juniperward.lab.policies import POLICIES, Baseline, OneTry
+from juniperward.lab.policies import POLICIES, Baseline, Lane, OneTry
 from juniperward.lab.report import write
 from juniperward.lab.scenario import FOLDER, load, parse
 from juniperward.lab.world import World
@@ -116,6 +116,26 @@
                 self.assertEqual(found.second_effects, 0, (name, kind))
 
 
+class SilentTest(unittest.TestCase):
+    def test_what_hangs_at_a_silent_partner_ends_with_the_trouble_and_frees_its_slots(self) -> None:
+        """On sockets connections end with the trouble; a model that forgot it was wrong by up to 0.16 of worth."""
+        ended: list[tuple[i.Outcome, float]] = []
+
+        class Noting(OneTry):
+            """Notes how calls end."""
+
+            def learn(self, lane: Lane, e: i.Settled) -> None:
+                ended.append((e.outcome, self.now))
+
+        world = World(parse(SMALL.replace("kind: DOWN", "kind: SILENT"), "s"), Noting, 1)
+        world.run()
+        reset = [at for outcome, at in ended if outcome is i.Outcome.RESET]
+        self.assertGreater(len(reset), 5)
+        self.assertTrue(all(7.0 <= at <= 7.1 for at in reset))
+        self.assertNotIn(i.Outcome.TIMEOUT, [outcome for outcome, _ in ended])
+        self.assertFalse([w for w in world.workers if w.hung])
+
+
 class OracleTest(unittest.TestCase):
     def test_it_keeps_the_rules_and_none_does_much_better(self) -> None:
         for kind in ("DOWN", "SHUT"):
