--- a/juniperward/cli/main.py
+++ b/juniperward/cli/main.py
@@ -51,14 +51,15 @@
     seed: Annotated[int, typer.Option(help="Of the load and of the faults.")] = 1,
     out: Annotated[Path, typer.Option(help="Folder of the results.")] = Path("docs/measurements"),
     rounds: Annotated[int | None, typer.Option(help="chaos: kills; kept: seeds; store: messages.")] = None,
-    rate: Annotated[float | None, typer.Option(help="rolls, chaos: messages a second.")] = None,
+    rate: Annotated[float | None, typer.Option(help="rolls, chaos, capacity: messages a second.")] = None,
+    away: Annotated[float | None, typer.Option(help="kept: seconds for which the partner is away.")] = None,
 ) -> None:
     """Run a long measurement on this machine and write its table down. Exit code 1 if a rule broke."""
     from juniperward.rigs.all import ALL
 
     if name not in ALL:
         raise typer.BadParameter(f"{name!r} is none of {', '.join(ALL)}", param_hint="NAME")
-    more = {k: v for k, v in (("rounds", rounds), ("rate", rate)) if v is not None}
+    more = {k: v for k, v in (("rounds", rounds), ("rate", rate), ("away", away)) if v is not None}
     raise typer.Exit(0 if ALL[name](seed, out, **more) else 1)
 
 
--- a/juniperward/rigs/measure_kept.py
+++ b/juniperward/rigs/measure_kept.py
@@ -25,7 +25,7 @@
 from juniperward.standins.records import Effect, Handed, Heard
 
 AT_ONCE = 10  # runs of the acceptance
-AWAY = 10.0  # seconds for which the partner is down
+AWAY = 10.0  # seconds, unless told otherwise, for which the partner is down
 WARM = 5.0
 COUNTED = ("kept", "once", "twice", "missing", "uncertain", "uncertain sent")
 SUMMED = ("runs", *COUNTED, "fell over", "rules broken")
@@ -102,15 +102,15 @@
     return yard.verdict(), counts
 
 
-def _one(seed: int, kills: bool) -> list[Any]:
+def _one(seed: int, kills: bool, away: float) -> list[Any]:
     dice = random.Random(seed)
     with tempfile.TemporaryDirectory(prefix="jw-") as folder, kept_yard(Path(folder), seed) as yard:
         yard.start()
-        clients = yard.clients(40.0, AWAY + 8.0, threads=48)
+        clients = yard.clients(40.0, away + 8.0, threads=48)
         time.sleep(2.0)
         mode = dice.choice(["down", "failing", "shut"])
-        yard.partners[1].trouble(mode, AWAY, share=0.9)
-        back = time.monotonic() + AWAY
+        yard.partners[1].trouble(mode, away, share=0.9)
+        back = time.monotonic() + away
         killed = 0
         while time.monotonic() < back:
             time.sleep(dice.uniform(0.5, 2.0))
@@ -128,18 +128,18 @@
         clients.done.wait(60.0)
         yard.until(lambda s: s["ready"] == 3, 30.0)
         yard.settle()
-        settled(yard, 60.0)
+        settled(yard, 50.0 + away)
         verdict, counts = judged(yard)
         return [seed, mode, killed, counts, verdict.good, yard.partners[1].fallen, verdict.lines()]
 
 
-def acceptance(seed: int, out: Path, rounds: int = 8) -> bool:
+def acceptance(seed: int, out: Path, rounds: int = 8, away: float = AWAY) -> bool:
     """A partner goes away under load and comes back cold; with and without kills, over seeds."""
-    command = f"juniperward measure kept --seed {seed} --rounds {rounds}"
+    command = f"juniperward measure kept --seed {seed} --rounds {rounds} --away {away:g}"
     report = Report("Kept messages after an outage", command, seed)
     report.say(
         f"Three forwarders, 40 messages a second that live for 4 s; one of three partners is down, failing or shut "
-        f"for {AWAY:g} s and comes back cold. With kills, agent or a forwarder is killed by SIGKILL six times while "
+        f"for {away:g} s and comes back cold. With kills, agent or a forwarder is killed by SIGKILL six times while "
         f"resends go on. {AT_ONCE} runs at a time."
     )
     cases = [(seed + n, kills) for n in range(rounds) for kills in (False, True)]
@@ -147,7 +147,7 @@
     sums: dict[tuple[str, str], dict[str, int]] = {}
     good = True
     with concurrent.futures.ProcessPoolExecutor(AT_ONCE) as pool:
-        runs = {pool.submit(_one, s, kills): (s, kills) for s, kills in cases}
+        runs = {pool.submit(_one, s, kills, away): (s, kills) for s, kills in cases}
         for run in concurrent.futures.as_completed(runs):
             s, kills = runs[run]
             try:
@@ -172,7 +172,7 @@
     if rows:
         report.say("Runs in which something was not as it must be:")
         report.table(["seed", "trouble", "kills", *COUNTED], rows)
-    report.write(out / "kept.md")
+    report.write(out / ("kept.md" if away == AWAY else f"kept-{away:g}.md"))
     return good
 
 
