Let a cold partner of the model be slow within its agreed limit, as the stand-ins are

The model's limit shrank with what the partner could do, and the waits it told kept that policy from harm.

--- a/juniperward/lab/sight.py
+++ b/juniperward/lab/sight.py
@@ -27,7 +27,7 @@
         if w.busy + len(w.queue) + len(held) >= p.spec.at_once:
             return False
         recent = sum(t > now - 1.0 + 2 * NET for t in p.span)
-        if p.spec.rate and recent + len(whole) + 1 > p.present(now):
+        if p.spec.rate and recent + len(whole) + 1 > p.spec.rate:
             return False
         if p.back_at is not None and now - p.back_at < WARM:
             pushed = sum(now - t <= FALL_SPAN for t in p.pushes) + len(whole)
--- a/juniperward/lab/world.py
+++ b/juniperward/lab/world.py
@@ -416,7 +416,8 @@
         if p.mode == "SHUT":
             return max(p.until - now, 0.01) if told else 0.0
         if spec.rate:
-            span, limit = p.span, p.present(now)
+            # What is agreed on, also while it is cold: what it can do less of then shows in its times (`_serve`).
+            span, limit = p.span, float(spec.rate)
             while span and now - span[0] >= 1.0:
                 span.popleft()
             if len(span) >= limit:
@@ -428,8 +429,7 @@
     def _serve(self, f: Forwarder, call: Attempt, w: Worker, p: Partner) -> None:
         w.busy += 1
         mean = p.spec.latency * (p.size if p.mode == "SLOW" else 1.0)
-        if not p.spec.rate:
-            mean *= min(p.capacity() / max(p.present(self.now), 0.01), 20.0)
+        mean *= min(p.capacity() / max(p.present(self.now), 0.01), 20.0)
         mean *= 1 + 0.1 * (len(call.members) - 1)
         self.at(self.now + self.draw["service"].gamma(mean, p.spec.spread), self._served, f, call, w, p)
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -136,6 +136,14 @@
         self.assertFalse([w for w in world.workers if w.hung])
 
 
+class ColdTest(unittest.TestCase):
+    def test_a_cold_partner_is_slow_and_its_limit_is_what_was_agreed_on(self) -> None:
+        """As the stand-ins have it: a limit that shrank told waits that kept hammering policies from harm."""
+        text = SMALL.replace("rate: 30", "rate: 90")
+        self.assertEqual(World(parse(text, "s"), POLICIES["round-robin"], 1).run().fallen, 1)
+        self.assertEqual(World(parse(text, "s"), POLICIES["nickelscale"], 1).run().fallen, 0)
+
+
 class OracleTest(unittest.TestCase):
     def test_it_keeps_the_rules_and_none_does_much_better(self) -> None:
         for kind in ("DOWN", "SHUT"):
