Have the test of a recorded call wait until the answer is noted

A stand-in notes an answer after it has written it, and a caller on a busy machine looked before that: one of 396 tests failed in a clean checkout with eight other processes beside it. The test waits for the note, not for a time.

--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -10,7 +10,7 @@
 from juniperward.net.http import Stream, encode_call, encode_response, read_response
 from juniperward.standins.clients import Clients, Front, Traffic
 from juniperward.standins.partners import Partner, PartnerSpec
-from juniperward.standins.records import Called, Effect, Handed, Heard, Recorder, Replied, Told
+from juniperward.standins.records import Called, Effect, Handed, Heard, Hung, Recorder, Replied, Told
 from juniperward.standins.registry import Registry
 from juniperward.standins.serving import Serving
 
@@ -77,8 +77,19 @@
             headers = {"X-Correlation-Id": name, "Idempotency-Key": key or name}
             sock.sendall(encode_call("POST", "/receive", "x", headers, b""))
             answer = read_response(Stream(sock.recv))
+            self._recorded()
             return answer.status, float(answer.headers.get("retry-after", 0.0))
 
+    def _recorded(self) -> None:
+        """An answer is noted once it is written: its caller may be faster than that."""
+        until = time.monotonic() + 5.0
+        while time.monotonic() < until:
+            records = list(self.recorder.records)
+            if sum(isinstance(r, Called) for r in records) <= sum(isinstance(r, Replied | Hung) for r in records):
+                return
+            time.sleep(0.001)
+        self.fail("a call that was answered was not noted")
+
     def test_a_repeat_takes_no_second_effect_inside_the_window(self) -> None:
         partner = self.partner(window=0.2)
         self.assertEqual([self.call(partner, f"m{n}", "k")[0] for n in range(3)], [200, 200, 200])
