--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -331,7 +331,7 @@
 def test_a_refusal_is_a_doubt_once_there_was_a_delivery_or_where_no_rate_is_listed() -> None:
     # Without it nine partners of forty forwarders were pushed over in twenty runs of `many`, with it four.
     for rating, served, sick in ((80.0, False, False), (80.0, True, True), (0.0, False, True)):
-        config = settings(KEYED, instances=40, rated=True, cold_share=0.001)  # hardly one keeps a call after a failure
+        config = settings(KEYED, instances=40, rated=True, cold_share=0.001)  # hardly one keeps a call
         node = Node(config, (Endpoint(10, 1, rating=rating),))
         if served:
             warm(node, 1, count=1)
