Take a listed rate that makes no sense as none, and test a table smaller than the fleet

A rate that was no number cost its worker the whole entry (_read_worker), and one without end or not a number went on to the module. Now each is as not listed, and counted (registry_rates_unread). A count of forwarders that is nonsense was refused with its name already, and an absent one is 1: both have a test now.

--- a/juniperward/forwarder/config.py
+++ b/juniperward/forwarder/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -91,10 +92,24 @@
         phase=PHASES[entry["state"]],
         kind=names.kinds.index(kind) if kind in names.kinds else 0,
         zone=names.zones.index(zone) if zone in names.zones else 0,
-        weight=float(entry.get("weight") or 0.0),
+        weight=_rate(entry.get("weight")),
     )
 
 
+def _rate(value: Any) -> float:
+    """A listed rate; one that makes no sense is as none, and must not cost us the worker."""
+    if value is None:
+        return 0.0
+    try:
+        rate = float(value)
+    except (ValueError, TypeError, OverflowError):
+        rate = math.nan
+    if 0 <= rate < math.inf:
+        return rate
+    count("registry_rates_unread")
+    return 0.0
+
+
 def load(environment: Mapping[str, str]) -> Config:
     """Read everything; raises ConfigError with one plain line."""
     path = environment.get("ROUTER_CONFIG")
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from juniperward.forwarder.config import ConfigError, address, load
+from juniperward.forwarder.counters import counters
 from juniperward.forwarder.messages import Moved
 from juniperward.forwarder.reload import Reloader
 from tests.player import ROOT, SETTINGS
@@ -83,6 +84,23 @@
         config = load(self.given({**GOOD, "known": {"version": 1, "full": True, "servers": odd}}))
         self.assertEqual([(w.id, w.kind) for w in config.known.workers], [("s-2", 1)])
 
+    def test_a_listed_rate_that_makes_no_sense_is_none_and_counted(self) -> None:
+        # Guards a worker against its own rate: one that was no number cost it the whole entry.
+        entry = {"addr": "127.0.0.1:81", "cell": 7, "state": "Ready", "kind": "small-partners"}
+        rates: tuple[Any, ...] = (None, 0, 42.5, "40", -1, "many", [], float("nan"), float("inf"), 10**400)
+        servers = [{**entry, "id": f"s-{n}", "weight": rate} for n, rate in enumerate(rates)]
+        before = counters().get("registry_rates_unread", 0)
+        config = load(self.given({**GOOD, "known": {"version": 1, "full": True, "servers": servers}}))
+        found = [w.weight for w in config.known.workers]
+        self.assertEqual(found, [0.0, 0.0, 42.5, 40.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0])
+        self.assertEqual(counters()["registry_rates_unread"] - before, 6)
+
+    def test_the_count_of_forwarders_is_one_where_none_is_told_and_never_nonsense(self) -> None:
+        self.assertEqual(load(self.given(GOOD)).settings.instances, 1)
+        for count in (0, -3, "forty", None, True, float("nan")):
+            with self.subTest(count), self.assertRaisesRegex(ConfigError, "instances"):
+                load(self.given({**GOOD, "settings": {**SETTINGS, "Instances": count}}))
+
     def test_addresses(self) -> None:
         for text in ("", "a", ":1", "a:", "a:0", "a:70000", "a:-1"):
             with self.subTest(text), self.assertRaises(ValueError):
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import random
 
 from nickelscale.interface import Cancel, Close, Endpoint, Listed, ListScope, Outcome, Send, Watch
 from tests.helpers import KEYED, ONCE, ORDERED, SAFE, Node, sends, settings
@@ -315,6 +316,40 @@
     assert node.sender.dests[1].shared.sick
 
 
+def test_an_endpoint_that_takes_fewer_connections_than_there_are_nodes_serves_them_all() -> None:
+    # A table of 13, forty nodes with a call in half a second each that takes 50 ms: idle ones must make room.
+    places, dice = 13, random.Random(3)
+    config = settings(KEYED, slots=6, instances=40, rated=True, keepalive=10.0, max_attempts=8)
+    nodes = [Node(config, (Endpoint(10, 1, rating=200.0),)) for _ in range(40)]
+    idle, seen = [0] * 40, [0] * 40
+    out: list[tuple[float, int, int]] = []  # calls: when answered, whose, which
+    came: dict[tuple[int, int], float] = {}
+    in_time = asked = 0
+    for step in range(2000):
+        now = 100.0 + step / 100
+        for n, node in enumerate(nodes):
+            node.run(max(0.0, now - node.now))
+            for call in [c for c in out if c[1] == n and c[0] <= now]:
+                out.remove(call)
+                idle[n] += 1
+                in_time += now - came[n, call[2]] <= 3.0
+                node.settle(call[2])
+            if dice.random() < 0.02:
+                node.arrive()
+                came[n, node.serial], asked = now, asked + 1
+            while seen[n] < len(node.log):
+                action = node.log[seen[n]][1]
+                seen[n] += 1
+                if isinstance(action, Close):
+                    idle[n] = 0
+                elif isinstance(action, Send) and (idle[n] or len(out) + sum(idle) < places):
+                    idle[n] -= idle[n] > 0
+                    out.append((now + 0.05, n, action.message))
+                elif isinstance(action, Send):
+                    node.settle(action.message, Outcome.CONNECT_FAILED, table_full=True)
+    assert asked > 1400 and in_time > 0.95 * asked
+
+
 def test_many_nodes_do_not_all_prefer_the_same_endpoint() -> None:
     # zone+vast: all began with the least number: 2,341, 1,185 and 320 calls at three of a partner, 308 of 370
     # full tables at the first.
