--- a/juniperward/forwarder/trace.py
+++ b/juniperward/forwarder/trace.py
@@ -1,6 +1,6 @@
 """What a forwarder takes in and does, a line each on standard error: off unless ROUTER_TRACE is set.
 
-The log is for people and leaves lines out; a trace is for `juniperward measure fleet`, which counts over all
+The log is for people and leaves lines out; a trace is for `juniperward lab traces`, which counts over all
 forwarders of a fleet, and leaves out none. A line is `juniperward: trace: TIME WORD FIELD ...`, the time that
 of the system's clock in seconds, which every forwarder of a fleet shares.
 """
