Watch the list from the start, and make the probes that the module asks for

Ruled out: the decoding of changes (full:false, Gone) and the version gap, which the watch already handled.

The reducer begins a watch once it has taken the configuration's list, whatever the mode; the module's own ask then finds one under way. A Probe becomes a Look effect: `GET /health/live` on a kept connection or a new one, heeding drains and told waits as calls do, within 1.5 dial timeouts; 200 is OK, 503 or 429 a refusal (with its wait held), a closed new connection a full table, silence a timeout; the answer's report goes to the module as Probed. A report's x0 over 1 is now counted and left out.

--- a/juniperward/forwarder/loop.py
+++ b/juniperward/forwarder/loop.py
@@ -26,6 +26,7 @@
     ForgetWorker,
     Hold,
     Keep,
+    Look,
     MoveTo,
     Notify,
     Record,
@@ -129,7 +130,7 @@
                 self.server.answer(client, status, wait)
             case Append(record=record):
                 self._append(record)
-            case Delegate():
+            case Delegate() | Look():
                 self.workers.delegate(effect)
             case Abandon(delegation=number):
                 self.workers.abandon(number)
--- a/juniperward/forwarder/messages.py
+++ b/juniperward/forwarder/messages.py
@@ -164,6 +164,19 @@
     ends: tuple[End, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class Looked:
+    """A probe ended: `latency` in seconds; `room` and `limit` as the worker's report has them."""
+
+    probe: int
+    worker: int
+    outcome: Outcome
+    latency: float
+    room: float | None = None
+    limit: float | None = None
+    wait: float = 0.0  # seconds that the answer told to wait
+
+
 @dataclass(frozen=True, slots=True)
 class Heard:
     """News from the registry."""
@@ -235,7 +248,7 @@
 
 
 Due = ModuleTimer | TimeUp | CalledOff
-Event = Replayed | Handed | TookOn | Answered | Heard | WatchLost | Moved | Noticed | Due | Stop | Asked
+Event = Replayed | Handed | TookOn | Answered | Looked | Heard | WatchLost | Moved | Noticed | Due | Stop | Asked
 
 # --- effects -----------------------------------------------------------------------------------------
 
@@ -286,6 +299,18 @@
     deadline: float
 
 
+@dataclass(frozen=True, slots=True)
+class Look:
+    """Probe a worker (`GET /health/live`); `Looked` reports back exactly once. `deadline`: monotonic seconds."""
+
+    number: int
+    worker: int
+    host: str
+    port: int
+    destination: int
+    deadline: float
+
+
 @dataclass(frozen=True, slots=True)
 class Abandon:
     """Close the connection of a delegation; nothing is reported for it any more."""
@@ -412,7 +437,7 @@
 
 
 Effect = (
-    TakeOn | Reply | Append | Delegate | Abandon | CloseIdle | Bar | ForgetWorker | Hold | WatchFrom | MoveTo
+    TakeOn | Reply | Append | Delegate | Look | Abandon | CloseIdle | Bar | ForgetWorker | Hold | WatchFrom | MoveTo
     | Notify | Wake | Say | Tell | Doors | EndProcess | Keep
     | Remember
 )
--- a/juniperward/forwarder/reducer.py
+++ b/juniperward/forwarder/reducer.py
@@ -38,6 +38,8 @@
     Heard,
     Hold,
     Keep,
+    Look,
+    Looked,
     ModuleTimer,
     Moved,
     MoveTo,
@@ -74,6 +76,7 @@
 # Seconds, and part of a message's time, by which its end comes before that time is up: the notice has to arrive, and
 # the clock of a process that has just begun was seen to run 0.2 to 1.1 s ahead and then to wait for the others'.
 SPARE, SPARE_PART = 0.3, 0.3
+PROBE_WAIT = 1.5  # of the dial timeout: a dial, then an answer that is work of milliseconds at a live worker
 AGAIN_AFTER = 0.05  # seconds after which the module is asked again where it failed
 LAST_START = 0.9  # seconds before the process must end after which no delegation is started
 
@@ -121,6 +124,7 @@
     heard_at: float | None = None  # when the registry last told something
     epoch: int = 0  # how often the registry has moved
     watching: bool = False  # a watch is asked for, or under way
+    looks: dict[int, int] = field(default_factory=dict)  # probes under way: worker, by number
     last_worker: int = 0
     last_message: int = 0
     last_delegation: int = 0
@@ -181,9 +185,14 @@
                 self._time_up(now, number, message)
             case CalledOff(delegation=number):
                 self._called_off(now, number)
+            case Looked():
+                self._looked(now, event)
             case Heard():
                 if event.epoch == self.state.epoch or event.known:
                     self._heard(now, event)
+                if event.known:
+                    # Where lists are pushed they come only over a watch, whatever the module asks for.
+                    self._watch()
             case WatchLost(epoch=epoch):
                 if epoch == self.state.epoch:
                     count("watches_lost")
@@ -422,8 +431,8 @@
                     self._watch()
                 case i.Log(text=text):
                     self.effects.append(Say(text))
-                case i.Probe():
-                    holds(False, "no_probe_is_asked_for")
+                case i.Probe(endpoint=worker):
+                    self._look(now, worker)
         # Delegations come last: what a round gives up or closes must not be met by what it starts.
         for worker, asked in sends.items():
             self._delegate(now, worker, asked)
@@ -445,6 +454,28 @@
             out.called_off = True
             self.effects += [Abandon(out.number), Wake(now, CalledOff(out.number))]
 
+    def _look(self, now: float, worker: int) -> None:
+        """Probe a worker; one that is not listed any more is answered at once as not probed."""
+        s = self.state
+        w = s.workers.get(worker)
+        if w is None or worker in s.gone:
+            self.news.append(i.Probed(worker, i.Outcome.MOOT, 0.0))
+            return
+        s.last_delegation += 1
+        s.looks[s.last_delegation] = worker
+        count("probes")
+        deadline = now + PROBE_WAIT * self.settings.dial_timeout
+        self.effects.append(Look(s.last_delegation, worker, w.host, w.port, w.destination, deadline))
+
+    def _looked(self, now: float, e: Looked) -> None:
+        s = self.state
+        if s.looks.pop(e.probe, None) is None:
+            return
+        w = s.workers.get(e.worker)
+        if e.wait > 0 and w is not None:
+            self.effects.append(Hold(w.destination, now + e.wait))
+        self.news.append(i.Probed(e.worker, e.outcome, e.latency, e.room, e.limit))
+
     def _delegate(self, now: float, worker: int, asked: list[i.Send]) -> None:
         s = self.state
         if s.stop_at is not None and now > s.stop_at - LAST_START:
--- a/juniperward/forwarder/workers.py
+++ b/juniperward/forwarder/workers.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from juniperward.forwarder.counters import count, log, trouble
-from juniperward.forwarder.messages import Answered, Delegate, End, Event
+from juniperward.forwarder.messages import Answered, Delegate, End, Event, Look, Looked
 from juniperward.forwarder.trace import Trace
 from juniperward.net import sockets
 from juniperward.net.http import Broken, Malformed, Response, Stream, encode_call, read_response
@@ -39,7 +39,7 @@
 class Job:
     """A delegation in the hands of a thread."""
 
-    def __init__(self, what: Delegate) -> None:
+    def __init__(self, what: Delegate | Look) -> None:
         self.what = what
         self.sock: socket.socket | None = None
         self.abandoned = False
@@ -92,8 +92,8 @@
 
     # --- effects, called by the loop ----------------------------------------------------------------
 
-    def delegate(self, what: Delegate) -> None:
-        """Have a thread make this call."""
+    def delegate(self, what: Delegate | Look) -> None:
+        """Have a thread make this call, or this probe."""
         job = Job(what)
         with self.lock:
             self.active[what.number] = job
@@ -167,19 +167,67 @@
     def _work(self) -> None:
         while True:
             job = self.jobs.get()
+            what, begun = job.what, time.monotonic()
+            result: Event
             try:
-                ends = self._call(job)
+                if isinstance(what, Look):
+                    result = self._look(job, what, begun)
+                else:
+                    result = Answered(what.number, self._call(job, what))
             except Exception as error:
                 trouble("worker", error)
-                ends = _all(job.what, Outcome.RESET)
+                result = (
+                    Looked(what.number, what.worker, Outcome.RESET, time.monotonic() - begun)
+                    if isinstance(what, Look)
+                    else Answered(what.number, _all(what, Outcome.RESET))
+                )
             with self.lock:
                 self.free += 1
-                known = self.active.pop(job.what.number, None) is not None
+                known = self.active.pop(what.number, None) is not None
             if known and not job.abandoned:
-                self.post(Answered(job.what.number, ends))
+                self.post(result)
 
-    def _call(self, job: Job) -> tuple[End, ...]:
-        what = job.what
+    def _look(self, job: Job, what: Look, begun: float) -> Looked:
+        """A probe: it counts as a call, so it heeds drains and waits as calls do, and it uses a kept connection."""
+        address = (what.host, what.port)
+
+        def ended(outcome: Outcome, answer: Response | None = None) -> Looked:
+            more = read_report(answer.headers) if answer is not None else {}
+            wait = read_wait(answer.headers) if answer is not None else 0.0
+            return Looked(what.number, what.worker, outcome, time.monotonic() - begun, wait=wait, **more)
+
+        kept = self._take_idle(what.worker, address)
+        fresh = kept is None
+        if kept is None:
+            kept = self._dial(job, address)
+            if kept is None:
+                return ended(Outcome.CONNECT_FAILED)
+        job.sock = kept.sock
+        if not self._may_write(job):
+            count("probes_withheld")
+            self._put_back(what.worker, kept)
+            return ended(Outcome.MOOT)
+        left = max(what.deadline - time.monotonic(), 0.001)
+        try:
+            sockets.limit(kept.sock, socket.SO_RCVTIMEO, left)
+            kept.sock.sendall(encode_call("GET", "/health/live", f"{what.host}:{what.port}", {}, None))
+            answer = read_response(kept.stream, kept.begun)
+            sockets.limit(kept.sock, socket.SO_RCVTIMEO, LONGEST)
+        except (Broken, Malformed, OSError) as error:
+            kept.sock.close()
+            if time.monotonic() >= what.deadline:  # the stream tells a read that took too long as broken
+                return ended(Outcome.TIMEOUT)
+            count("probes_spoilt")
+            log("probe", f"{what.host}:{what.port} gave no whole answer: {error}")
+            return ended(Outcome.CONNECT_FAILED if fresh and isinstance(error, ConnectionError) else Outcome.RESET)
+        count("probes_answered")
+        if answer.close or job.abandoned or kept.stream.buffer:
+            kept.sock.close()
+        else:
+            self._put_back(what.worker, kept)
+        return ended(read_look(answer, fresh), answer)
+
+    def _call(self, job: Job, what: Delegate) -> tuple[End, ...]:
         address = (what.host, what.port)
         kept = self._take_idle(what.worker, address)
         fresh = kept is None
@@ -329,7 +377,8 @@
     try:
         given = read_json(text, 1)
         found = {name: float(given[x]) for name, x in (("room", "x0"), ("limit", "x1")) if x in given}
-        if len(text) <= MOST_REPORT and all(0 <= x < math.inf for x in found.values()):
+        # `x0` is a share of the limit, so within 0 and 1; a limit is a rate.
+        if len(text) <= MOST_REPORT and all(0 <= x < math.inf for x in found.values()) and found.get("room", 0) <= 1:
             return found
     except (ValueError, TypeError, OverflowError):
         pass
@@ -337,6 +386,22 @@
     return {}
 
 
+def read_look(answer: Response, fresh: bool = False) -> Outcome:
+    """What a probe's answer says of its worker ('Forwarders to endpoints': 200 or 503)."""
+    match answer.status:
+        case 200:
+            return Outcome.OK
+        case 503 if fresh and answer.close and not read_wait(answer.headers):
+            count("tables_full")
+            return Outcome.CONNECT_FAILED  # no place in its table, as for a call
+        case 503 | 429:
+            return Outcome.FULL
+        case status:
+            count("probes_unknown")
+            log("probe", f"a probe was answered {status}, which is taken as an error")
+            return Outcome.ERROR
+
+
 def read_ends(what: Delegate, answer: Response, fresh: bool = False) -> tuple[End, ...]:
     """What an answer says of each message of a call ('Forwarders to endpoints'); `fresh`: on a new connection."""
     wait, more = read_wait(answer.headers), read_report(answer.headers)
--- /dev/null
+++ b/tests/test_second_deployment.py
@@ -0,0 +1,132 @@
+"""What a deployment with pushed lists, probes and load reports needs of the forwarder, without a bench."""
+
+from __future__ import annotations
+
+import queue
+import socket
+import threading
+import time
+import unittest
+
+from juniperward.forwarder.messages import Event, Heard, Hold, Look, Looked, WatchFrom
+from juniperward.forwarder.reducer import Reducer
+from juniperward.forwarder.workers import Workers, read_report
+from nickelscale.interface import Outcome, Phase
+from tests.helpers import ONCE, settings
+from tests.test_reducer import worker
+
+
+def look(port: int, deadline: float = 1e12) -> Look:
+    return Look(1, 3, "127.0.0.1", port, 7, deadline)
+
+
+class PushedListTest(unittest.TestCase):
+    def test_a_watch_begins_at_the_start_though_the_module_does_not_ask(self) -> None:
+        # Guards the second deployment: its lists are pushed, the module never asks, and sockets heard nothing.
+        for on_request in (False, True):
+            with self.subTest(on_request=on_request):
+                reducer = Reducer(settings(ONCE, on_request=on_request), 1)
+                effects = reducer.reduce(100.0, [Heard(41, True, (worker(),), known=True)])
+                self.assertEqual([e for e in effects if isinstance(e, WatchFrom)], [WatchFrom(41, 0)])
+
+    def test_news_of_a_watch_does_not_ask_for_a_second_one(self) -> None:
+        reducer = Reducer(settings(ONCE), 1)
+        reducer.reduce(100.0, [Heard(41, True, (worker(),), known=True)])
+        effects = reducer.reduce(101.0, [Heard(42, False, (worker("s-2"),))])
+        self.assertEqual([e for e in effects if isinstance(e, WatchFrom)], [])
+
+
+class ProbeInReducerTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.reducer = Reducer(settings(ONCE, probing=True), 1)
+        self.reducer.reduce(100.0, [Heard(41, True, (worker(), worker("s-2", phase=Phase.GONE)), known=True)])
+
+    def test_a_probe_goes_to_a_listed_worker_and_its_wait_binds(self) -> None:
+        self.reducer.effects, self.reducer.news = [], []
+        self.reducer._look(100.0, 1)
+        (asked,) = self.reducer.effects
+        assert isinstance(asked, Look)
+        self.assertEqual((asked.worker, asked.destination, asked.port), (1, 1, 81))
+        self.assertAlmostEqual(asked.deadline, 101.5)
+        told = Looked(asked.number, 1, Outcome.FULL, 0.01, wait=0.8)
+        effects = self.reducer.reduce(100.5, [told])
+        self.assertIn(Hold(1, 101.3), effects)
+        # A second word of the same probe is nothing.
+        self.assertEqual(self.reducer.reduce(100.6, [told]), [])
+
+    def test_a_worker_that_is_not_listed_is_not_probed(self) -> None:
+        self.reducer.effects, self.reducer.news = [], []
+        self.reducer._look(100.0, 99)
+        self.assertEqual(self.reducer.effects, [])
+        self.assertEqual([n.outcome for n in self.reducer.news], [Outcome.MOOT])  # type: ignore[union-attr]
+
+
+class ProbeOnSocketsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.events: queue.Queue[Event] = queue.Queue()
+        self.workers = Workers(1.0, 10.0, 4, 4, self.events.put)
+        self.door = socket.create_server(("127.0.0.1", 0))
+        self.door.settimeout(5.0)
+        self.addCleanup(self.door.close)
+        self.port = self.door.getsockname()[1]
+
+    def answer(self, reply: bytes) -> threading.Thread:
+        def serve() -> None:
+            sock, _ = self.door.accept()
+            with sock:
+                head = b""
+                while b"\r\n\r\n" not in head:
+                    head += sock.recv(1024)
+                self.asked = head.split(b"\r\n")[0]
+                sock.sendall(reply)
+                sock.recv(1)  # silent until the forwarder closes it, or keeps it
+
+        thread = threading.Thread(target=serve, daemon=True)
+        thread.start()
+        return thread
+
+    def looked(self) -> Looked:
+        event = self.events.get(timeout=5.0)
+        assert isinstance(event, Looked)
+        return event
+
+    def test_a_probe_of_503_is_a_refusal_and_200_brings_the_report(self) -> None:
+        cases = (
+            (b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.4\r\nContent-Length: 0\r\n\r\n", Outcome.FULL),
+            (b'HTTP/1.1 200 OK\r\nX-Backend-Load: {"x0":0.25,"x1":12}\r\nContent-Length: 0\r\n\r\n', Outcome.OK),
+        )
+        for reply, outcome in cases:
+            with self.subTest(outcome=outcome.name):
+                self.answer(reply)
+                self.workers.delegate(look(self.port))
+                told = self.looked()
+                self.assertEqual(self.asked, b"GET /health/live HTTP/1.1")
+                self.assertIs(told.outcome, outcome)
+                self.workers.close_idle(3)
+        self.assertEqual((told.room, told.limit), (0.25, 12.0))
+
+    def test_a_silent_worker_ends_the_probe_at_its_deadline(self) -> None:
+        self.answer(b"")
+        self.workers.delegate(look(self.port, time.monotonic() + 0.2))
+        self.assertIs(self.looked().outcome, Outcome.TIMEOUT)
+
+    def test_a_probe_heeds_a_told_wait(self) -> None:
+        self.workers.hold(7, 1e12)
+        self.workers.delegate(look(self.port))
+        self.assertIs(self.looked().outcome, Outcome.MOOT)
+
+
+class ReportTest(unittest.TestCase):
+    def test_a_report_that_makes_no_sense_is_counted_and_left_out(self) -> None:
+        for text in ('{"x1":20}', '{"x0":-0.1,"x1":20}', '{"x0":1.5,"x1":20}', '{"x0":"a","x1":20}',
+                     '{"x0":NaN,"x1":20}', '{"x0":0.5,"x1":-3}', "[1]", "{"):  # fmt: skip
+            with self.subTest(text=text):
+                found = read_report({"x-backend-load": text})
+                self.assertLessEqual(found.get("room", 0.0), 1.0)
+                self.assertGreaterEqual(min(found.values(), default=0.0), 0.0)
+        self.assertEqual(read_report({"x-backend-load": '{"x1":20}'}), {"limit": 20.0})
+        self.assertEqual(read_report({"x-backend-load": '{"x0":1.5,"x1":20}'}), {})
+
+
+if __name__ == "__main__":
+    unittest.main()
