Hold a destination from the moment its wait is read, in the thread that reads it

A destination was held only by the loop's Hold effect (reducer.py, _settle), so (1) between the read of the answer and the loop's round, other threads wrote calls that the module had decided before it knew, and (2) the answer of a call that was abandoned (a time-out) was dropped whole: workers.py _work posts nothing for it and reducer.py _answered returns early. A probe showed that an answer already in the buffer is still read after the shutdown that abandon does, so such a wait was in hand and thrown away.

Workers._heed holds the destination as soon as a call's or a probe's answer with a wait is read, whether or not its job was abandoned; the loop's Hold can only make it longer. A test writes a second call to a destination told to wait 30 s with no reducer at all: withheld (MOOT), and written without the change.

--- a/juniperward/forwarder/workers.py
+++ b/juniperward/forwarder/workers.py
@@ -146,6 +146,15 @@
         with self.lock:
             self.held[destination] = max(until, self.held.get(destination, until))
 
+    def _heed(self, destination: int, wait: float) -> None:
+        """Hold a destination from the moment its wait is read, not from when the loop gets to the answer.
+
+        Between the two, other threads write what the module decided before it knew: on a busy process that
+        was longer than the 100 ms that the rule lets through.
+        """
+        if wait > 0:
+            self.hold(destination, time.monotonic() + wait)
+
     def sweep(self, now: float) -> None:
         """Drop connections before their workers do, and waits that are over."""
         old = []
@@ -221,6 +230,7 @@
             log("probe", f"{what.host}:{what.port} gave no whole answer: {error}")
             return ended(Outcome.CONNECT_FAILED if fresh and isinstance(error, ConnectionError) else Outcome.RESET)
         count("probes_answered")
+        self._heed(what.destination, read_wait(answer.headers))
         if answer.close or job.abandoned or kept.stream.buffer:
             kept.sock.close()
         else:
@@ -269,6 +279,7 @@
             kept.sock.close()
         else:
             self._put_back(what.worker, kept)
+        self._heed(what.destination, read_wait(answer.headers))
         return read_ends(what, answer, fresh)
 
     def _dial(self, job: Job, address: tuple[str, int]) -> Kept | None:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -246,6 +246,17 @@
             sock.close()
             self.assertIs(self.outcome(), outcome)
 
+    def test_a_told_wait_binds_before_the_loop_has_its_answer(self) -> None:
+        # Guards calm+mass: other threads wrote calls in the time the loop took to hold the destination.
+        self.workers.delegate(delegate(1, self.port))
+        sock, _ = self.door.accept()
+        self.addCleanup(sock.close)
+        sock.recv(1000)
+        sock.sendall(b"HTTP/1.1 429 Too Many Requests\r\nRetry-After: 30\r\nContent-Length: 0\r\n\r\n")
+        self.assertIs(self.outcome(), Outcome.FULL)  # nothing of this reaches a reducer, nor a Hold
+        self.workers.delegate(delegate(2, self.port))
+        self.assertIs(self.outcome(), Outcome.MOOT)
+
     def test_a_refused_dial_never_ran(self) -> None:
         self.door.close()
         self.workers.delegate(delegate(1, self.port))
