Test a pushed watch: changes, Gone, a whole list after a gap, and a broken line

In the reducer, a Gone takes the worker out and a whole list leaves out what it does not name. The code was right already; these pin it.

--- a/tests/test_second_deployment.py
+++ b/tests/test_second_deployment.py
@@ -8,8 +8,10 @@
 import time
 import unittest
 
-from juniperward.forwarder.messages import Event, Heard, Hold, Look, Looked, WatchFrom
+from juniperward.forwarder.config import Names
+from juniperward.forwarder.messages import Event, Heard, Hold, Look, Looked, WatchFrom, WatchLost
 from juniperward.forwarder.reducer import Reducer
+from juniperward.forwarder.registry import Registry
 from juniperward.forwarder.workers import Workers, read_report
 from nickelscale.interface import Outcome, Phase
 from tests.helpers import ONCE, settings
@@ -36,6 +38,64 @@
         self.assertEqual([e for e in effects if isinstance(e, WatchFrom)], [])
 
 
+def entry(name: str, state: str, cell: int = 3) -> bytes:
+    return (
+        f'{{"id":"{name}","addr":"127.0.0.1:9","zone":"a","kind":"m2","cell":{cell},'
+        f'"state":"{state}","weight":1.0,"started_ms":0}}'
+    ).encode()
+
+
+class PushedWatchTest(unittest.TestCase):
+    """A local agent that pushes changes over a watch; what the forwarder's registry thread makes of its lines."""
+
+    def test_changes_gone_a_whole_list_after_a_gap_and_a_broken_line(self) -> None:
+        door = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(door.close)
+        lines = [
+            b'{"version":43,"full":false,"servers":[' + entry("s-1", "Terminating") + b"]}",
+            b"",  # what comes every 2 s while nothing changes
+            b'{"version":44,"full":false,"servers":[' + entry("s-1", "Gone") + b"]}",
+            b'{"version":50,"full":true,"servers":[' + entry("s-2", "Ready") + b"]}",
+            b'{"version":51,"full":fal',
+        ]
+        asked: list[bytes] = []
+
+        def agent() -> None:
+            sock, _ = door.accept()
+            with sock:
+                head = b""
+                while b"\r\n\r\n" not in head:
+                    head += sock.recv(1024)
+                asked.append(head.split(b"\r\n")[0])
+                sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                for line in lines:
+                    sock.sendall(b"%x\r\n%s\r\n" % (len(line) + 1, line + b"\n"))
+                sock.recv(1)
+
+        threading.Thread(target=agent, daemon=True).start()
+        events: queue.Queue[Event] = queue.Queue()
+        registry = Registry(door.getsockname(), Names(("c",), (12.0,), (), ("m2",), ("a",)), events.put)
+        registry.start()
+        registry.watch(41, 0)
+        got = [events.get(timeout=5.0) for _ in range(4)]
+        heard = [h for h in got if isinstance(h, Heard)]
+        self.assertEqual(asked, [b"GET /registry/instances?follow=1&since=41 HTTP/1.1"])
+        self.assertEqual([(h.version, h.full) for h in heard], [(43, False), (44, False), (50, True)])
+        phases = [w.phase for h in heard for w in h.workers]
+        self.assertEqual(phases, [Phase.DRAINING, Phase.GONE, Phase.READY])
+        # A broken line ends the watch, counted; the next one goes on from 50.
+        self.assertIsInstance(got[3], WatchLost)
+
+    def test_changes_and_gone_take_a_worker_out_and_a_whole_list_leaves_out_the_unnamed(self) -> None:
+        reducer = Reducer(settings(ONCE), 1)
+        reducer.reduce(100.0, [Heard(41, True, (worker(), worker("s-2")), known=True)])
+        reducer.reduce(101.0, [Heard(42, False, (worker(phase=Phase.GONE),))])
+        self.assertEqual(sorted(w.id for w in reducer.state.workers.values()), ["s-2"])
+        reducer.reduce(102.0, [Heard(50, True, (worker("s-3"),))])
+        self.assertEqual(sorted(w.id for w in reducer.state.workers.values()), ["s-3"])
+        self.assertEqual(reducer.state.version, 50)
+
+
 class ProbeInReducerTest(unittest.TestCase):
     def setUp(self) -> None:
         self.reducer = Reducer(settings(ONCE, probing=True), 1)
@@ -92,8 +152,14 @@
 
     def test_a_probe_of_503_is_a_refusal_and_200_brings_the_report(self) -> None:
         cases = (
-            (b'HTTP/1.1 200 OK\r\nX-Backend-Load: {"x0":0.25,"x1":12}\r\nContent-Length: 0\r\n\r\n', Outcome.OK),
-            (b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 30\r\nContent-Length: 0\r\n\r\n", Outcome.FULL),
+            (
+                b'HTTP/1.1 200 OK\r\nX-Backend-Load: {"x0":0.25,"x1":12}\r\nContent-Length: 0\r\n\r\n',
+                Outcome.OK,
+            ),
+            (
+                b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 30\r\nContent-Length: 0\r\n\r\n",
+                Outcome.FULL,
+            ),
         )
         for reply, outcome in cases:
             with self.subTest(outcome=outcome.name):
