--- a/juniperward/forwarder/reducer.py
+++ b/juniperward/forwarder/reducer.py
@@ -8,21 +8,18 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Iterable
-from dataclasses import dataclass, field
 
 from juniperward.control.protocol import Answer, FateRow, Fates, Verb
 from juniperward.forwarder import telling
 from juniperward.forwarder.counters import count, holds, trouble
+from juniperward.forwarder.listing import Listing
 from juniperward.forwarder.messages import (
     Abandon,
     Answered,
     Append,
     Asked,
-    Bar,
     Began,
-    Call,
     CalledOff,
     CloseIdle,
     Decided,
@@ -33,7 +30,6 @@
     Ended,
     EndProcess,
     Event,
-    ForgetWorker,
     Handed,
     Heard,
     Hold,
@@ -42,7 +38,6 @@
     Looked,
     ModuleTimer,
     Moved,
-    MoveTo,
     Notice,
     Noticed,
     Notify,
@@ -61,17 +56,16 @@
     TookOn,
     Tried,
     Wake,
-    WatchFrom,
     WatchLost,
     Worker,
 )
+from juniperward.forwarder.state import Held, Out, State
 from juniperward.kept.decisions import custody
 from juniperward.kept.spool import PREFIX
 from nickelscale import Sender
 from nickelscale import interface as i
 
 FENCED = 120.0  # seconds for which a resend that was told unknown is turned away
-EMPTY = 60.0  # seconds for which a destination without workers is still one
 DOOR_WAIT = 1.0  # seconds after which a client that was turned away at the door may come again
 # Seconds, and part of a message's time, by which its end comes before that time is up: the notice has to arrive, and
 # the clock of a process that has just begun was seen to run 0.2 to 1.1 s ahead and then to wait for the others'.
@@ -81,60 +75,7 @@
 LAST_START = 0.9  # seconds before the process must end after which no delegation is started
 
 
-@dataclass(slots=True, eq=False)
-class Held:
-    """A message taken on and not over for the module."""
-
-    number: int
-    call: Call
-    expires: float
-    since: float  # when it came into this process
-    attempts: int = 0
-    out: int | None = None  # number of the delegation that carries it
-    began_at: float = 0.0  # of the latest attempt
-    ran_at: float | None = None  # when it first may have run
-    story: list[Tried] = field(default_factory=list)  # its attempts, where messages are kept
-
-
-@dataclass(slots=True, eq=False)
-class Out:
-    """A delegation out: its worker and the messages that are still waited for."""
-
-    number: int
-    worker: int
-    began: float
-    waiting: dict[int, int] = field(default_factory=dict)  # message to attempt
-    called_off: bool = False
-
-
-@dataclass(slots=True)
-class State:
-    """What the forwarder knows beside the module."""
-
-    held: dict[int, Held] = field(default_factory=dict)
-    numbers: dict[str, int] = field(default_factory=dict)  # of held messages, by id
-    offered: dict[int, Held] = field(default_factory=dict)  # journalled, their clients not yet told
-    owed: dict[str, Notice] = field(default_factory=dict)
-    outs: dict[int, Out] = field(default_factory=dict)
-    workers: dict[int, Worker] = field(default_factory=dict)
-    worker_numbers: dict[str, int] = field(default_factory=dict)
-    gone: set[int] = field(default_factory=set)  # workers that are, and not yet forgotten
-    destinations: dict[int, float] = field(default_factory=dict)  # until when each is known
-    version: int = 0
-    heard_at: float | None = None  # when the registry last told something
-    epoch: int = 0  # how often the registry has moved
-    watching: bool = False  # a watch is asked for, or under way
-    looks: dict[int, int] = field(default_factory=dict)  # probes under way: worker, by number
-    last_worker: int = 0
-    last_message: int = 0
-    last_delegation: int = 0
-    open_until: float = 0.0
-    stop_at: float | None = None
-    draining: bool = False
-    fenced: dict[str, float] = field(default_factory=dict)  # resends told unknown, and when: never to be taken
-
-
-class Reducer:
+class Reducer(Listing):
     """Drives the module; the only place where the forwarder's state changes."""
 
     def __init__(
@@ -513,68 +454,3 @@
         self.effects.append(
             Delegate(out.number, out.worker, w.host, w.port, w.destination, tuple(parcels), deadline)
         )
-
-    # --- the registry --------------------------------------------------------------------------------
-
-    def _watch(self) -> None:
-        """One watch at a time; a second would only stand in line behind it."""
-        s = self.state
-        if not s.watching:
-            s.watching = True
-            self.effects.append(WatchFrom(s.version, s.epoch))
-
-    def _move(self, address: tuple[str, int]) -> None:
-        """What the old watch still tells does not count; the new one goes on from the version held."""
-        s = self.state
-        s.epoch += 1
-        s.watching = False
-        self.effects.append(MoveTo(address, s.epoch))
-        self._watch()
-
-    def _worker_number(self, name: str) -> int:
-        s = self.state
-        if name not in s.worker_numbers:
-            s.last_worker += 1
-            s.worker_numbers[name] = s.last_worker
-        return s.worker_numbers[name]
-
-    def _heard(self, now: float, e: Heard) -> None:
-        s = self.state
-        s.version = e.version
-        if not e.known:
-            s.heard_at = now
-        count("registry_news")
-        entries = []
-        named = set()
-        for w in e.workers:
-            number = self._worker_number(w.id)
-            named.add(number)
-            s.workers[number] = w
-            (s.gone.add if w.phase is i.Phase.GONE else s.gone.discard)(number)
-            self.effects.append(Bar(number, w.phase is not i.Phase.READY))
-            entries.append(i.Endpoint(number, w.destination, w.phase, w.kind, w.zone, w.weight))
-        if e.full:
-            missing = [number for number in s.workers if number not in named]
-            s.gone.update(missing)
-            self.effects += [Bar(number, True) for number in missing]
-        scope = i.ListScope.FULL if e.full else i.ListScope.DELTA
-        self.news.append(i.Listed(i.ListScope.CACHED if e.known else scope, tuple(entries)))
-        self._forget_workers(now)
-
-    def _forget_workers(self, now: float) -> None:
-        """Workers come and go for months: keep nothing of those that are gone, nor of their destinations."""
-        s = self.state
-        busy = {out.worker for out in s.outs.values()}
-        listed = {w.destination for number, w in s.workers.items() if number not in s.gone}
-        for number in sorted(s.gone - busy):
-            s.gone.discard(number)
-            del s.worker_numbers[s.workers.pop(number).id]
-            self.effects.append(ForgetWorker(number))
-        for destination in listed:
-            s.destinations[destination] = math.inf
-        for destination, until in list(s.destinations.items()):
-            if destination not in listed:
-                if until <= now:
-                    del s.destinations[destination]
-                elif until == math.inf:
-                    s.destinations[destination] = now + EMPTY
--- /dev/null
+++ b/juniperward/forwarder/state.py
@@ -0,0 +1,60 @@
+"""What the forwarder knows beside the module: messages held, delegations out, workers listed."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from juniperward.forwarder.messages import Call, Notice, Tried, Worker
+
+
+@dataclass(slots=True, eq=False)
+class Held:
+    """A message taken on and not over for the module."""
+
+    number: int
+    call: Call
+    expires: float
+    since: float  # when it came into this process
+    attempts: int = 0
+    out: int | None = None  # number of the delegation that carries it
+    began_at: float = 0.0  # of the latest attempt
+    ran_at: float | None = None  # when it first may have run
+    story: list[Tried] = field(default_factory=list)  # its attempts, where messages are kept
+
+
+@dataclass(slots=True, eq=False)
+class Out:
+    """A delegation out: its worker and the messages that are still waited for."""
+
+    number: int
+    worker: int
+    began: float
+    waiting: dict[int, int] = field(default_factory=dict)  # message to attempt
+    called_off: bool = False
+
+
+@dataclass(slots=True)
+class State:
+    """What the forwarder knows beside the module."""
+
+    held: dict[int, Held] = field(default_factory=dict)
+    numbers: dict[str, int] = field(default_factory=dict)  # of held messages, by id
+    offered: dict[int, Held] = field(default_factory=dict)  # journalled, their clients not yet told
+    owed: dict[str, Notice] = field(default_factory=dict)
+    outs: dict[int, Out] = field(default_factory=dict)
+    workers: dict[int, Worker] = field(default_factory=dict)
+    worker_numbers: dict[str, int] = field(default_factory=dict)
+    gone: set[int] = field(default_factory=set)  # workers that are, and not yet forgotten
+    destinations: dict[int, float] = field(default_factory=dict)  # until when each is known
+    version: int = 0
+    heard_at: float | None = None  # when the registry last told something
+    epoch: int = 0  # how often the registry has moved
+    watching: bool = False  # a watch is asked for, or under way
+    looks: dict[int, int] = field(default_factory=dict)  # probes under way: worker, by number
+    last_worker: int = 0
+    last_message: int = 0
+    last_delegation: int = 0
+    open_until: float = 0.0
+    stop_at: float | None = None
+    draining: bool = False
+    fenced: dict[str, float] = field(default_factory=dict)  # resends told unknown, and when: never to be taken
--- a/juniperward/forwarder/telling.py
+++ b/juniperward/forwarder/telling.py
@@ -12,7 +12,7 @@
 from nickelscale.view import sick, views
 
 if TYPE_CHECKING:
-    from juniperward.forwarder.reducer import State
+    from juniperward.forwarder.state import State
 
 VERSION = "0.2.0"
 FAILED = ("error", "timeout", "reset", "connect_failed")
