--- a/tests/test_second_deployment.py
+++ b/tests/test_second_deployment.py
@@ -2,18 +2,21 @@
 
 from __future__ import annotations
 
+import json
 import queue
 import socket
 import threading
 import time
 import unittest
+from pathlib import Path
 
 from juniperward.forwarder.config import Names
 from juniperward.forwarder.messages import Event, Heard, Hold, Look, Looked, WatchFrom, WatchLost
 from juniperward.forwarder.reducer import Reducer
 from juniperward.forwarder.registry import Registry
 from juniperward.forwarder.workers import Workers, read_report
-from nickelscale.interface import Outcome, Phase
+from nickelscale.benchlink import settings_from
+from nickelscale.interface import Outcome, Phase, Settings
 from tests.helpers import ONCE, settings
 from tests.test_reducer import worker
 
@@ -200,3 +203,24 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class DeploymentSettingsTest(unittest.TestCase):
+    """Each deployment's settings, as a forwarder is given them: what differs is read from them alone."""
+
+    def read(self, name: str) -> Settings:
+        given = json.loads((Path(__file__).parent.parent / "deploy" / name).read_text())
+        return settings_from(given["settings"])
+
+    def test_each_deployment_reads_its_own_differences(self) -> None:
+        asked, pushed = self.read("forwarder.json"), self.read("forwarder-pushed.json")
+        self.assertEqual((asked.on_request, asked.probing, asked.max_attempts), (True, False, 8))
+        self.assertEqual((pushed.on_request, pushed.probing, pushed.max_attempts), (False, True, 6))
+        self.assertEqual((pushed.over_share_worth, pushed.rated, pushed.instances), (0.1, True, 3))
+        self.assertEqual([t.quota for t in pushed.tenants], [67.0, 47.0, 32.0, 24.0, 17.0])
+
+    def test_a_value_that_cannot_be_used_is_an_error_that_names_it(self) -> None:
+        given = json.loads((Path(__file__).parent.parent / "deploy" / "forwarder-pushed.json").read_text())
+        given["settings"]["Services"][0]["Effect"] = "twice"
+        with self.assertRaisesRegex(ValueError, "Effect: unknown value 'twice'"):
+            settings_from(given["settings"])
