Share the workers' socket rig between the net and probe tests

The duplicate check found the same six-line setUp in tests/test_net.py (WorkersTest) and tests/test_second_deployment.py (ProbeOnSocketsTest). Importing WorkersTest would run its tests twice, so the setUp moves to tests/rigs.py as WorkerRig, which is not collected itself (__test__ = False) and each subclass sets back.

--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import queue
 import socket
 import threading
 import time
@@ -13,11 +12,12 @@
 from juniperward.forwarder import workers as workers_module
 from juniperward.forwarder.codec import BadCall, decode_call
 from juniperward.forwarder.config import Names
-from juniperward.forwarder.messages import Answered, Call, Delegate, End, Event, Parcel
+from juniperward.forwarder.messages import Answered, Call, Delegate, End, Parcel
 from juniperward.forwarder.server import Client, Server
-from juniperward.forwarder.workers import Kept, Workers, read_ends, read_wait
+from juniperward.forwarder.workers import Kept, read_ends, read_wait
 from juniperward.net.http import Broken, HttpCall, Malformed, Response, Stream, read_call, read_response
 from nickelscale.interface import Outcome
+from tests.rigs import WorkerRig
 
 NAMES = Names(("c",), (12.0,), (), (), ())
 
@@ -201,14 +201,9 @@
         self.assertLessEqual(server_module.FIRST, 2.5)
 
 
-class WorkersTest(unittest.TestCase):
-    def setUp(self) -> None:
-        self.events: queue.Queue[Event] = queue.Queue()
-        self.workers = Workers(1.0, 10.0, 4, 4, self.events.put)
-        self.door = socket.create_server(("127.0.0.1", 0))
-        self.door.settimeout(5.0)
-        self.addCleanup(self.door.close)
-        self.port = self.door.getsockname()[1]
+class WorkersTest(WorkerRig):
+    __test__ = True
+
 
     def outcome(self) -> Outcome:
         event = self.events.get(timeout=5.0)
--- a/tests/test_second_deployment.py
+++ b/tests/test_second_deployment.py
@@ -14,10 +14,11 @@
 from juniperward.forwarder.messages import Event, Heard, Hold, Look, Looked, WatchFrom, WatchLost
 from juniperward.forwarder.reducer import Reducer
 from juniperward.forwarder.registry import Registry
-from juniperward.forwarder.workers import Workers, read_report
+from juniperward.forwarder.workers import read_report
 from nickelscale.benchlink import settings_from
 from nickelscale.interface import Outcome, Phase, Settings
 from tests.helpers import ONCE, settings
+from tests.rigs import WorkerRig
 from tests.test_reducer import worker
 
 
@@ -124,14 +125,9 @@
         self.assertEqual([n.outcome for n in self.reducer.news], [Outcome.MOOT])  # type: ignore[union-attr]
 
 
-class ProbeOnSocketsTest(unittest.TestCase):
-    def setUp(self) -> None:
-        self.events: queue.Queue[Event] = queue.Queue()
-        self.workers = Workers(1.0, 10.0, 4, 4, self.events.put)
-        self.door = socket.create_server(("127.0.0.1", 0))
-        self.door.settimeout(5.0)
-        self.addCleanup(self.door.close)
-        self.port = self.door.getsockname()[1]
+class ProbeOnSocketsTest(WorkerRig):
+    __test__ = True
+
 
     def answer(self, reply: bytes) -> threading.Thread:
         def serve() -> None:
