Leave a message that has had its end out of a call whose connection comes up late

Ruled out by those lines: the notice was accepted within 1 ms, so neither the notices' connection nor a half-written answer holds it up; nothing crossed the client's 400 ms.

At fault: Reducer._time_up settled one message of a call and abandoned the call only where none was left; Workers._call checked the call's deadline, the latest of its messages', and wrote every parcel.

Now a message whose time is up is struck off its call first (Strike, answered in the same round by Struck, as TakeOn is by TookOn). Not written yet: it is left out, and surely has not run (MOOT), so one that may not be repeated is handed back and not failed. Being written: half a call cannot lose a message, so the call is called off. The module no longer takes a message that was not sent as the verdict on its whole call.

--- a/juniperward/forwarder/loop.py
+++ b/juniperward/forwarder/loop.py
@@ -33,6 +33,8 @@
     Remember,
     Reply,
     Say,
+    Strike,
+    Struck,
     TakeOn,
     Tell,
     TookOn,
@@ -134,6 +136,8 @@
                 self.workers.delegate(effect)
             case Abandon(delegation=number):
                 self.workers.abandon(number)
+            case Strike(delegation=number, message=message):
+                self.follow.append(Struck(number, message, self.workers.strike(number, message)))
             case CloseIdle(worker=worker):
                 self.workers.close_idle(worker)
             case Bar(worker=worker, barred=barred):
--- a/juniperward/forwarder/messages.py
+++ b/juniperward/forwarder/messages.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum
 
 from juniperward.control.protocol import Answer, Request
 from nickelscale.interface import Outcome, Phase
@@ -247,8 +248,27 @@
     request: Request
 
 
+class Progress(Enum):
+    """How far a delegation's call has come."""
+
+    WAITS = "waits"  # nothing of it is written: its connection is not up, or it stands in line for a thread
+    WRITES = "writes"
+    WRITTEN = "written"  # whole; also where it is over
+
+
+@dataclass(frozen=True, slots=True)
+class Struck:
+    """What became of a `Strike`: `progress` is that of the call when it came."""
+
+    delegation: int
+    message: int
+    progress: Progress
+
+
 Due = ModuleTimer | TimeUp | CalledOff
-Event = Replayed | Handed | TookOn | Answered | Looked | Heard | WatchLost | Moved | Noticed | Due | Stop | Asked
+Event = (
+    Replayed | Handed | TookOn | Answered | Struck | Looked | Heard | WatchLost | Moved | Noticed | Due | Stop | Asked
+)
 
 # --- effects -----------------------------------------------------------------------------------------
 
@@ -318,6 +338,14 @@
     delegation: int
 
 
+@dataclass(frozen=True, slots=True)
+class Strike:
+    """Leave a message out of a delegation that is not written yet; `Struck` reports back in the same round."""
+
+    delegation: int
+    message: int
+
+
 @dataclass(frozen=True, slots=True)
 class CloseIdle:
     """Close the idle connections to a worker."""
@@ -437,7 +465,6 @@
 
 
 Effect = (
-    TakeOn | Reply | Append | Delegate | Look | Abandon | CloseIdle | Bar | ForgetWorker | Hold | WatchFrom | MoveTo
-    | Notify | Wake | Say | Tell | Doors | EndProcess | Keep
-    | Remember
+    TakeOn | Reply | Append | Delegate | Look | Abandon | Strike | CloseIdle | Bar | ForgetWorker | Hold | WatchFrom
+    | MoveTo | Notify | Wake | Say | Tell | Doors | EndProcess | Keep | Remember
 )
--- a/juniperward/forwarder/reducer.py
+++ b/juniperward/forwarder/reducer.py
@@ -43,12 +43,15 @@
     Notify,
     Over,
     Parcel,
+    Progress,
     Remember,
     Replayed,
     Reply,
     Restored,
     Say,
     Stop,
+    Strike,
+    Struck,
     Taken,
     TakeOn,
     Tell,
@@ -123,7 +126,9 @@
             case ModuleTimer(token=token):
                 self.news.append(i.TimerFired(token))
             case TimeUp(delegation=number, message=message):
-                self._time_up(now, number, message)
+                self._time_up(number, message)
+            case Struck():
+                self._struck(now, event)
             case CalledOff(delegation=number):
                 self._called_off(now, number)
             case Looked():
@@ -302,15 +307,25 @@
             )
         )
 
-    def _time_up(self, now: float, delegation: int, message: int) -> None:
-        """The module's time-out is the message's own end: others of the same call may still wait."""
+    def _time_up(self, delegation: int, message: int) -> None:
+        """The module's time-out is the message's own end: others of the same call may still wait.
+
+        It is struck off the call first, or a connection that comes up late would carry it after its end.
+        """
         out = self.state.outs.get(delegation)
-        if out is None or message not in out.waiting:
+        if out is not None and message in out.waiting:
+            self.effects.append(Strike(delegation, message))
+
+    def _struck(self, now: float, e: Struck) -> None:
+        out = self.state.outs.get(e.delegation)
+        if out is None or e.message not in out.waiting:
             return
-        self._settle(now, out, End(message, i.Outcome.TIMEOUT))
-        if not out.waiting:
-            del self.state.outs[delegation]
-            self.effects.append(Abandon(delegation))
+        never = e.progress is Progress.WAITS
+        self._settle(now, out, End(e.message, i.Outcome.MOOT if never else i.Outcome.TIMEOUT))
+        if e.progress is Progress.WRITES or not out.waiting:
+            # Half a call cannot lose one of its messages: what is not written whole yet is called off whole.
+            self.effects.append(Abandon(e.delegation))
+            self._called_off(now, e.delegation)
 
     def _called_off(self, now: float, delegation: int) -> None:
         out = self.state.outs.pop(delegation, None)
--- a/juniperward/forwarder/trace.py
+++ b/juniperward/forwarder/trace.py
@@ -25,6 +25,7 @@
     Notify,
     Reply,
     Say,
+    Struck,
     TakeOn,
     TimeUp,
     TookOn,
@@ -53,6 +54,8 @@
                         lines.append(f"ended {e.delegation} {x.outcome.name.lower()} {x.wait:.3f}")
                 case TimeUp():
                     lines.append(f"up {e.delegation}")
+                case Struck():
+                    lines.append(f"struck {e.delegation} {e.progress.value}")
                 case CalledOff():
                     lines.append(f"off {e.delegation}")
                 case TookOn(told=False):
--- a/juniperward/forwarder/workers.py
+++ b/juniperward/forwarder/workers.py
@@ -11,10 +11,11 @@
 import threading
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 from juniperward.forwarder.counters import count, log, trouble
-from juniperward.forwarder.messages import Answered, Delegate, End, Event, Look, Looked
+from juniperward.forwarder.messages import Answered, Delegate, End, Event, Look, Looked, Progress
 from juniperward.forwarder.trace import Trace
 from juniperward.net import sockets
 from juniperward.net.http import Broken, Malformed, Response, Stream, encode_call, read_response
@@ -43,6 +44,8 @@
         self.what = what
         self.sock: socket.socket | None = None
         self.abandoned = False
+        self.progress = Progress.WAITS
+        self.struck: set[int] = set()  # messages that are over and must not be written
 
 
 class Kept:
@@ -121,6 +124,19 @@
         if sock is not None:
             sockets.shut(sock)
 
+    def strike(self, number: int, message: int) -> Progress:
+        """Leave a message out of a call, if nothing of the call is written yet; how far it has come.
+
+        The others of the call may wait for seconds behind a dial; this one is over meanwhile.
+        """
+        with self.lock:
+            job = self.active.get(number)
+            if job is None:
+                return Progress.WRITTEN
+            if job.progress is Progress.WAITS:
+                job.struck.add(message)
+            return job.progress
+
     def close_idle(self, worker: int) -> None:
         """Close the connections to a worker that no call is on."""
         with self.lock:
@@ -212,7 +228,7 @@
             if kept is None:
                 return ended(Outcome.CONNECT_FAILED)
         job.sock = kept.sock
-        if not self._may_write(job):
+        if self._begin(job) is None:
             count("probes_withheld")
             self._put_back(what.worker, kept)
             return ended(Outcome.MOOT)
@@ -248,16 +264,23 @@
         else:
             job.sock = kept.sock
             count("connections_reused")
-        if not self._may_write(job):
+        struck = self._begin(job)
+        if struck is None or len(struck) == len(what.parcels):
             # It waited behind a dial: what came meanwhile from the registry or the worker binds it.
             count("delegations_withheld")
             self._put_back(what.worker, kept)
             return _all(what, Outcome.MOOT)
+        if struck:
+            # What ended meanwhile was told its end: sent on now it would run, and be brought a second time.
+            count("messages_struck", len(struck))
+            what = replace(what, parcels=tuple(p for p in what.parcels if p.message not in struck))
         try:
             kept.sock.sendall(_request(what, time.monotonic()))
         except OSError:
             kept.sock.close()
             return _all(what, Outcome.CONNECT_FAILED)
+        with self.lock:
+            job.progress = Progress.WRITTEN
         try:
             answer = read_response(kept.stream, kept.begun)
         except (Broken, Malformed, OSError) as error:
@@ -299,11 +322,15 @@
         count("connections_opened")
         return Kept(sock, address)
 
-    def _may_write(self, job: Job) -> bool:
+    def _begin(self, job: Job) -> set[int] | None:
+        """Begin to write, unless that is barred by now; the messages that are to be left out."""
         what, now = job.what, time.monotonic()
         with self.lock:
             free = what.worker not in self.barred and now >= self.held.get(what.destination, -math.inf)
-        return free and not job.abandoned and now < what.deadline
+            if not free or job.abandoned or now >= what.deadline:
+                return None
+            job.progress = Progress.WRITES
+            return job.struck
 
     def _take_idle(self, worker: int, address: tuple[str, int]) -> Kept | None:
         """The connection used most recently that has rested and is still good; where none has, the eldest."""
--- a/nickelscale/rules.py
+++ b/nickelscale/rules.py
@@ -184,7 +184,7 @@
         call = m.out.pop(e.attempt, None) if m else None
         if m is None or call is None:
             return
-        first = self._leave(m, call)
+        self._leave(m, call)
         if e.wait > 0:  # rule 6 binds whatever the outcome that told it
             route = call.endpoint.route
             route.wait_until = max(route.wait_until, self.now + e.wait)
@@ -194,7 +194,7 @@
             self.turns[m.key].rest_until = self.now + self.set.key_rest
         if e.outcome is Outcome.OK:
             self._learn(m, e.latency)
-        if first:
+        if not call.judged:
             self._judge(call, e)
         if e.ended or m.ended:
             self._end(m)
@@ -589,9 +589,8 @@
 
     # --- learning -------------------------------------------------------------------------------------
 
-    def _leave(self, m: Message, call: Call) -> bool:
-        """An attempt is over; True for the first of its call. The last one frees the slot."""
-        first, call.judged = not call.judged, True
+    def _leave(self, m: Message, call: Call) -> None:
+        """An attempt is over; the last one of its call frees the slot."""
         call.members.discard(m.id)
         if not call.members:
             ep, d = call.endpoint, call.endpoint.dest
@@ -605,7 +604,6 @@
             if not d.slots and not d.idle_due:
                 d.idle_due = True
                 self._at(self.now + IDLE_DROP, self._idle, d)
-        return first
 
     def _rest(self, ep: Endpoint) -> None:
         """Idle connections of many nodes fill a table: together they keep them as long as one alone would."""
@@ -623,6 +621,7 @@
 
     def _judge(self, call: Call, e: Settled) -> None:
         ep, d = call.endpoint, call.endpoint.dest
+        call.judged = e.outcome is not Outcome.MOOT  # one that was not sent tells nothing of the others' call
         if e.outcome not in (Outcome.OK, Outcome.FULL, Outcome.MOOT, Outcome.CANCELLED):
             # A quick error must not earn turns: what it saved of the normal cost is charged after all.
             d.deficit -= max(0.0, e.latency - self._cost(self.messages[e.message]))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -2,19 +2,23 @@
 
 from __future__ import annotations
 
+import json
 import socket
 import threading
 import time
 import unittest
+from collections.abc import Callable
+from typing import Any
 from unittest import mock
 
 from juniperward.forwarder import server as server_module
 from juniperward.forwarder import workers as workers_module
 from juniperward.forwarder.codec import BadCall, decode_call
 from juniperward.forwarder.config import Names
-from juniperward.forwarder.messages import Answered, Call, Delegate, End, Parcel
+from juniperward.forwarder.messages import Answered, Call, Delegate, End, Parcel, Progress
 from juniperward.forwarder.server import Client, Server
 from juniperward.forwarder.workers import Kept, read_ends, read_wait
+from juniperward.net import sockets
 from juniperward.net.http import Broken, HttpCall, Malformed, Response, Stream, read_call, read_response
 from nickelscale.interface import Outcome
 from tests.rigs import WorkerRig
@@ -252,6 +256,39 @@
         self.workers.delegate(delegate(2, self.port))
         self.assertIs(self.outcome(), Outcome.MOOT)
 
+    def test_what_ended_behind_a_late_dial_is_left_out_of_its_call(self) -> None:
+        # Guards join+mass: a message of a batch was told its end, then its connection came up and carried it.
+        for struck in ((0,), (0, 2), (0, 1, 2)):
+            up, dial = threading.Event(), sockets.connect
+
+            def late(*args: Any, up: threading.Event = up, dial: Callable[..., None] = dial) -> None:
+                up.wait(5.0)
+                dial(*args)
+
+            with self.subTest(struck), mock.patch("juniperward.net.sockets.connect", late):
+                self.workers.delegate(delegate(1, self.port, 3))
+                self.assertEqual({self.workers.strike(1, n) for n in struck}, {Progress.WAITS})
+                up.set()
+                sock, _ = self.door.accept()
+                self.addCleanup(sock.close)
+                sock.settimeout(5.0)
+                if len(struck) == 3:
+                    self.assertIs(self.outcome(), Outcome.MOOT)
+                    self.workers.close_idle(3)
+                    self.assertEqual(sock.recv(1000), b"")
+                    continue
+                call = read_call(Stream(sock.recv))
+                if call.path == "/receive-many":
+                    written = [row["id"] for row in json.loads(call.body)]
+                else:
+                    written = [call.headers["x-correlation-id"]]
+                self.assertEqual(written, [f"m{n}" for n in range(3) if n not in struck])
+                self.assertIs(self.workers.strike(1, 1), Progress.WRITTEN)
+                sock.close()
+                event = self.events.get(timeout=5.0)
+                assert isinstance(event, Answered)
+                self.assertEqual({e.message for e in event.ends}, {0, 1, 2} - set(struck))
+
     def test_a_refused_dial_never_ran(self) -> None:
         self.door.close()
         self.workers.delegate(delegate(1, self.port))
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -30,10 +30,13 @@
     Noticed,
     Notify,
     Over,
+    Progress,
     Replayed,
     Reply,
     Restored,
     Stop,
+    Strike,
+    Struck,
     TakeOn,
     TimeUp,
     TookOn,
@@ -93,6 +96,12 @@
         told = [End(p.message, o, w) for p, (o, w) in zip(d.parcels, ends, strict=True)]
         return self.do(Answered(d.number, tuple(told)))
 
+    def up(self, d: Delegate, progress: Progress = Progress.WRITTEN) -> list[Effect]:
+        """The time of a delegation's first message is up, its call having come so far."""
+        message = d.parcels[0].message
+        self.assertEqual(self.do(TimeUp(d.number, message)), [Strike(d.number, message)])
+        return self.do(Struck(d.number, message, progress))
+
     def test_the_journal_has_a_delegation_before_it_starts(self) -> None:
         # Guards against a call that a killed process made and that its next life does not know of.
         self.start()
@@ -159,18 +168,46 @@
         wake = next(w for w in self.only(effects, Wake) if w.due == TimeUp(d.number, d.parcels[0].message))
         self.assertEqual((wake.at, d.deadline), (101.7, 101.7))  # 0.3 s are spared for the notice
         self.now = wake.at
-        effects = self.do(wake.due)
+        effects = self.up(d)
         self.assertEqual(self.only(effects, Abandon), [Abandon(d.number)])
         self.assertEqual(self.only(effects, Notify), [Notify((Notice("a"),))])
         self.assertIn(Append(Decided(Notice("a"))), effects)
         # An answer that crossed it changes nothing.
         self.assertEqual(self.do(Answered(d.number, (End(d.parcels[0].message, Outcome.OK),))), [])
 
+    def test_a_message_whose_call_is_not_written_yet_surely_has_not_run(self) -> None:
+        # Guards a late connection: a message that must not run twice may be handed back, and was failed.
+        for progress, again in ((Progress.WAITS, True), (Progress.WRITTEN, False)):
+            with self.subTest(progress):
+                self.start()
+                (d,) = self.only(self.take("a", cls=1, left=2.0), Delegate)
+                self.now += 1.7
+                effects = self.up(d, progress)
+                (told,) = self.only(effects, Notify)
+                self.assertEqual(told.notices[0].again is not None, again)
+                self.assertIn(Append(Ended("a", not again)), effects)
+
+    def test_a_time_up_in_a_call_of_several_leaves_the_others_in_it(self) -> None:
+        for progress, gone in ((Progress.WAITS, False), (Progress.WRITTEN, False), (Progress.WRITES, True)):
+            with self.subTest(progress):
+                self.start(worker(kind=1))
+                self.end(self.take("a", left=4.0), (Outcome.FULL, 0.5))
+                self.take("b")
+                self.now += 2.0
+                (d,) = self.only(self.do(Heard(43, False, ())), Delegate)
+                self.assertEqual([p.call.id for p in d.parcels], ["a", "b"])
+                self.now = 103.7
+                effects = self.up(d, progress)
+                self.assertEqual([n.id for t in self.only(effects, Notify) for n in t.notices], ["a"])
+                # A call that is being written cannot lose one: it is called off, the other may go again.
+                self.assertEqual(self.only(effects, Abandon), [Abandon(d.number)] if gone else [])
+                self.assertEqual(Append(Ended("b", True)) in effects, gone)
+
     def test_a_notice_is_owed_until_it_is_accepted(self) -> None:
         self.start()
         (d,) = self.only(self.take("a", cls=1, left=2.0), Delegate)
         self.now += 2.0
-        self.do(TimeUp(d.number, d.parcels[0].message))
+        self.up(d)
         self.assertIn("a", self.reducer.state.owed)
         self.assertEqual(self.do(Noticed(("a",))), [Append(Over("a"))])
         self.assertEqual(self.do(Noticed(("a",))), [])
