Read the registry's lists in any layout, and told before their line ends

Registry._watch split what came at line ends and decoded each line: an indented list ended the watch with 'news that cannot be read', and the next one got the same list again.

forwarder/news.py (pure) collects an object over lines by its depth outside strings, which JSON keeps within a line. An object is told once it is whole, also before its line end; an empty line inside one tells of an object that broke off, which is counted and logged as before, the last good list kept.

Beside it: a client of the agent that is turned away before it has written reads the answer all the same; under load test_another_user_is_turned_away met that race and failed.

--- a/juniperward/agent/client.py
+++ b/juniperward/agent/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import concurrent.futures
+import contextlib
 import socket
 import time
 from dataclasses import dataclass, field
@@ -37,7 +38,8 @@
         sockets.limit(sock, socket.SO_SNDTIMEO, patience)
         sock.connect(str(path))
         body = msgspec.json.encode({"names": names or [], "options": options})
-        sock.sendall(encode_call("POST", f"/v1/{verb}", "agent", {"Connection": "close"}, body))
+        with contextlib.suppress(BrokenPipeError):  # one that is turned away is answered before it has written
+            sock.sendall(encode_call("POST", f"/v1/{verb}", "agent", {"Connection": "close"}, body))
 
         def receive(size: int) -> bytes:
             left = until - time.monotonic()
--- a/juniperward/forwarder/registry.py
+++ b/juniperward/forwarder/registry.py
@@ -13,6 +13,7 @@
 from juniperward.forwarder.config import Names, read_news
 from juniperward.forwarder.counters import count, log, trouble
 from juniperward.forwarder.messages import Event, Heard, Notice, Noticed, WatchLost
+from juniperward.forwarder.news import Objects
 from juniperward.net import sockets
 from juniperward.net.http import Broken, Malformed, Stream, chunks, encode_call, read_head, read_response
 
@@ -21,7 +22,6 @@
 NOTICE_WAIT = 1.0  # seconds for the answer to notices; it comes straight away
 NOTICE_AGAIN = (0.05, 0.4)  # seconds before notices are handed over again: first, most
 NOTICES_AT_ONCE = 200
-MOST_LINE = 4 * 1024 * 1024
 
 Link = tuple[socket.socket, Stream, str]
 
@@ -98,20 +98,13 @@
             if status != 200 or "chunked" not in headers.get("transfer-encoding", "").lower():
                 raise Broken(f"it was answered {status}")
             count("watches_begun")
-            pending = b""
+            objects = Objects()
             for chunk in chunks(stream):
-                *lines, pending = (pending + chunk).split(b"\n")
-                for line in lines:
-                    if line.strip():
-                        self._news(line, epoch)
-                if len(pending) > MOST_LINE:
-                    raise Malformed(400, "a line of news is too long")
+                for value in objects.feed(chunk):
+                    news = read_news(value, self.names)
+                    self.post(Heard(news.version, news.full, news.workers, epoch=epoch))
             raise Broken("it came to its end")
 
-    def _news(self, line: bytes, epoch: int) -> None:
-        news = read_news(json.loads(line), self.names)
-        self.post(Heard(news.version, news.full, news.workers, epoch=epoch))
-
     # --- notices -----------------------------------------------------------------------------------------
 
     def _notify(self) -> None:
