Bind a call behind a late dial to its repeat window, and give up nothing early

The module checks the window when it releases a message; its call may then wait up to 1 s for its connection. At fault: Send carried no bound. It says now within which time its call must begin (Send.within), and the worker's thread leaves out what is beyond it (never ran), the others of the call go. 2. At fault: Reducer._handed knew only what it still held. The ids of messages that are over are now known for the longest deadline, 8,192 at most, and answered 202. 3.

--- a/juniperward/forwarder/messages.py
+++ b/juniperward/forwarder/messages.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 
@@ -300,10 +301,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Parcel:
-    """One message of a delegation."""
+    """One message of a delegation; `until`: monotonic seconds after which it must not be written any more."""
 
     message: int
     call: Call
+    until: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/juniperward/forwarder/reducer.py
+++ b/juniperward/forwarder/reducer.py
@@ -20,6 +20,7 @@
     Append,
     Asked,
     Began,
+    Call,
     CalledOff,
     CloseIdle,
     Decided,
@@ -67,17 +68,29 @@
 from juniperward.kept.spool import PREFIX
 from nickelscale import Sender
 from nickelscale import interface as i
+from nickelscale.rules import EARLY
 
+MOST_ENDED = 8192  # ids of messages that are over: 1.5 MiB
 FENCED = 120.0  # seconds for which a resend that was told unknown is turned away
 DOOR_WAIT = 1.0  # seconds after which a client that was turned away at the door may come again
 # Seconds, and part of a message's time, by which its end comes before that time is up: the notice has to arrive, and
 # the clock of a process that has just begun was seen to run 0.2 to 1.1 s ahead and then to wait for the others'.
-SPARE, SPARE_PART = 0.3, 0.3
+# Of a short time it is less than the three tenths in which a message may be given up at all (the module's EARLY).
+SPARE, SPARE_PART = 0.3, 0.2
 PROBE_WAIT = 1.5  # of the dial timeout: a dial, then an answer that is work of milliseconds at a live worker
 AGAIN_AFTER = 0.05  # seconds after which the module is asked again where it failed
 LAST_START = 0.9  # seconds before the process must end after which no delegation is started
 
 
+def _spare(call: Call) -> float:
+    return min(SPARE, SPARE_PART * call.time_left)
+
+
+def _early(held: Held) -> float:
+    """Until when it is too early to end a message undelivered; its time is that which its client gave it."""
+    return held.expires + _spare(held.call) - (1 - EARLY) * held.call.time_left
+
+
 class Reducer(Listing):
     """Drives the module; the only place where the forwarder's state changes."""
 
@@ -185,8 +198,9 @@
 
     def _handed(self, now: float, e: Handed) -> None:
         s = self.state
-        if e.call.id in s.numbers or e.call.id in s.owed:
-            # A client whose connection crossed with our close sends the same once more: it is ours already.
+        self._forget_ended(now)
+        if e.call.id in s.numbers or e.call.id in s.owed or e.call.id in s.ended:
+            # A client whose connection crossed with our close sends the same once more: it is ours already, or was.
             count("handed_in_twice")
             self.effects.append(Reply(e.client, 202))
             return
@@ -206,8 +220,7 @@
             self.effects.append(Reply(e.client, 503, DOOR_WAIT))
             return
         s.last_message += 1
-        spare = min(SPARE, SPARE_PART * e.call.time_left)
-        held = Held(s.last_message, e.call, e.at + e.call.time_left - spare, now)
+        held = Held(s.last_message, e.call, e.at + e.call.time_left - _spare(e.call), now)
         if e.call.ran is not None:
             held.ran_at, held.attempts = e.at - e.call.ran, 1
         s.offered[held.number] = held
@@ -228,7 +241,11 @@
         c = held.call
         left = max(held.expires - now, 0.0)
         history = (i.Tried(0, held.ran_at),) if held.ran_at is not None else ()
-        self.news.append(i.Arrived(number, c.cls, c.destination, left, c.tenant, c.key, history=history))
+        self.news.append(
+            i.Arrived(
+                number, c.cls, c.destination, left, c.tenant, c.key, history=history, early=_early(held) - now
+            )
+        )
 
     def _restore(self, now: float, r: Restored) -> None:
         s = self.state
@@ -256,7 +273,8 @@
         c = r.call
         self.news.append(
             i.Arrived(
-                held.number, c.cls, c.destination, r.expires - now, c.tenant, c.key, history=history
+                held.number, c.cls, c.destination, r.expires - now, c.tenant, c.key, history=history,
+                early=_early(held) - now,
             )
         )
 
@@ -291,7 +309,7 @@
             if end.outcome is i.Outcome.OK:
                 count("delivered")
             if over:
-                self._forget(held)
+                self._forget(held, now)
                 if self.keeps and held.call.id.startswith(PREFIX):
                     name = "delivered" if end.outcome is i.Outcome.OK else "undeliverable"
                     self.effects.append(Remember(held.call.id, name, held.ran_at))
@@ -333,9 +351,21 @@
             for message in list(out.waiting):
                 self._settle(now, out, End(message, i.Outcome.CANCELLED))
 
-    def _forget(self, held: Held) -> None:
-        del self.state.held[held.number]
-        del self.state.numbers[held.call.id]
+    def _forget(self, held: Held, now: float) -> None:
+        s = self.state
+        del s.held[held.number]
+        del s.numbers[held.call.id]
+        if not held.call.id.startswith(PREFIX):  # a resend that was handed back comes again under its id
+            s.ended[held.call.id] = now
+
+    def _forget_ended(self, now: float) -> None:
+        """The ids of messages that are over are known for as long as a copy of theirs could still be in time."""
+        ended, longest = self.state.ended, max(c.deadline for c in self.settings.classes)
+        while ended:
+            name, at = next(iter(ended.items()))
+            if len(ended) <= MOST_ENDED and now < at + longest:
+                return
+            del ended[name]
 
     def _give_up(self, held: Held, now: float, again: float | None) -> None:
         resend = held.call.id.startswith(PREFIX)
@@ -397,7 +427,7 @@
         """The message is over. A delegation that is still out goes on to its own end."""
         held = self.state.held.get(number)
         if held is not None:
-            self._forget(held)
+            self._forget(held, now)
             self._give_up(held, now, again)
         else:
             holds(False, "one_final_answer")
@@ -460,7 +490,7 @@
             out.waiting[a.message] = held.attempts
             held.attempts += 1
             held.out, held.began_at = out.number, now
-            parcels.append(Parcel(a.message, held.call))
+            parcels.append(Parcel(a.message, held.call, now + a.within))
             self.effects.append(Append(Began(held.call.id, now, w.id)))
             self.effects.append(Wake(now + a.timeout, TimeUp(out.number, a.message)))
         holds(len(self.state.outs) <= self.settings.slots, "no_more_calls_than_slots")
--- a/juniperward/forwarder/state.py
+++ b/juniperward/forwarder/state.py
@@ -57,4 +57,5 @@
     open_until: float = 0.0
     stop_at: float | None = None
     draining: bool = False
+    ended: dict[str, float] = field(default_factory=dict)  # ids of messages that are over, and since when
     fenced: dict[str, float] = field(default_factory=dict)  # resends told unknown, and when: never to be taken
--- a/juniperward/forwarder/workers.py
+++ b/juniperward/forwarder/workers.py
@@ -15,7 +15,7 @@
 from typing import Any
 
 from juniperward.forwarder.counters import count, log, trouble
-from juniperward.forwarder.messages import Answered, Delegate, End, Event, Look, Looked, Progress
+from juniperward.forwarder.messages import Answered, Delegate, End, Event, Look, Looked, Parcel, Progress
 from juniperward.forwarder.trace import Trace
 from juniperward.net import sockets
 from juniperward.net.http import Broken, Malformed, Response, Stream, encode_call, read_response
@@ -264,16 +264,22 @@
         else:
             job.sock = kept.sock
             count("connections_reused")
-        struck = self._begin(job)
-        if struck is None or len(struck) == len(what.parcels):
+        parcels = self._begin(job)
+        if not parcels:
             # It waited behind a dial: what came meanwhile from the registry or the worker binds it.
             count("delegations_withheld")
             self._put_back(what.worker, kept)
             return _all(what, Outcome.MOOT)
-        if struck:
-            # What ended meanwhile was told its end: sent on now it would run, and be brought a second time.
-            count("messages_struck", len(struck))
-            what = replace(what, parcels=tuple(p for p in what.parcels if p.message not in struck))
+        # What ended meanwhile was told its end: sent on now it would run, and be brought a second time.
+        if len(parcels) == len(what.parcels):
+            return self._exchange(job, what, kept, fresh)
+        count("messages_left_out", len(what.parcels) - len(parcels))
+        ends = {end.message: end for end in _all(what, Outcome.MOOT)}
+        ends |= {end.message: end for end in self._exchange(job, replace(what, parcels=parcels), kept, fresh)}
+        return tuple(ends.values())
+
+    def _exchange(self, job: Job, what: Delegate, kept: Kept, fresh: bool) -> tuple[End, ...]:
+        """Write a call and read its answer; the connection is put back, or closed."""
         try:
             kept.sock.sendall(_request(what, time.monotonic()))
         except OSError:
@@ -322,15 +328,19 @@
         count("connections_opened")
         return Kept(sock, address)
 
-    def _begin(self, job: Job) -> set[int] | None:
-        """Begin to write, unless that is barred by now; the messages that are to be left out."""
+    def _begin(self, job: Job) -> tuple[Parcel, ...] | None:
+        """Begin to write, unless that is barred by now (None); the messages that may still be written."""
         what, now = job.what, time.monotonic()
         with self.lock:
             free = what.worker not in self.barred and now >= self.held.get(what.destination, -math.inf)
             if not free or job.abandoned or now >= what.deadline:
                 return None
-            job.progress = Progress.WRITES
-            return job.struck
+            if isinstance(what, Look):
+                return ()
+            parcels = tuple(p for p in what.parcels if p.message not in job.struck and now < p.until)
+            if parcels:
+                job.progress = Progress.WRITES
+            return parcels
 
     def _take_idle(self, worker: int, address: tuple[str, int]) -> Kept | None:
         """The connection used most recently that has rested and is still good; where none has, the eldest."""
--- a/nickelscale/interface.py
+++ b/nickelscale/interface.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from enum import Enum, IntEnum
 
@@ -148,6 +149,10 @@
     refused_price: float = 0.0
     tolls: tuple[float, ...] = ()
 
+    def kind(self, number: int) -> Kind:
+        """A kind of destination by its number; one that is not named is as any."""
+        return self.kinds[number] if 0 <= number < len(self.kinds) else Kind()
+
     def __post_init__(self) -> None:
         if not self.classes:
             raise ValueError("classes: at least one is needed")
@@ -236,6 +241,7 @@
     key: str | None = None
     size_hint: float = 0.0
     history: tuple[Tried, ...] = ()
+    early: float | None = None  # seconds for which it is too early to end it undelivered; None: a part of the budget
 
 
 @dataclass(frozen=True, slots=True)
@@ -297,11 +303,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Call an endpoint with a message; its attempts count from 0."""
+    """Call an endpoint with a message; its attempts count from 0. `within`: seconds after which it must not begin."""
 
     message: int
     endpoint: int
     timeout: float
+    within: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/nickelscale/rules.py
+++ b/nickelscale/rules.py
@@ -21,7 +21,6 @@
     Effect,
     Event,
     Fail,
-    Kind,
     Listed,
     ListScope,
     Log,
@@ -68,6 +67,7 @@
 LAST_TIMES = 3.0  # x the overdue limit before a call is given up whose message must then fail
 RETRY_FIRST, RETRY_MOST = 0.2, 2.0  # seconds before a message's next attempt, doubling
 ASK_FIRST, ASK_MOST = 0.5, 4.0  # seconds before the list is asked for again, doubling
+EARLY = 0.7  # part of its time before which a message that surely has not run is not given up
 FULL_SHARE = 0.95  # share of max_open held at which the least worth is refused
 KEEP_CUT, KEEP_RISE = 0.5, 1.1  # an idle connection's time: at a full table, with each call answered
 MARGIN = 0.02  # seconds kept clear of a repeat window's end
@@ -152,11 +152,12 @@
         key = e.key if cls.in_order else None
         m = Message(e.message, cls, e.cls, dest, key, self.now + e.budget, value, self.seq)
         m.aim_at = m.expires - cls.deadline + cls.aim
+        m.early_until = self.now + (EARLY * e.budget if e.early is None else e.early)
         self.messages[m.id] = m
         self.held += 1
         if m.key is not None:
             self.turns.setdefault(m.key, Turn()).queue.append(m)
-        self._at(m.expires - self._floor(dest), self._last_moment, m)
+        self._at(max(m.expires - self._floor(dest), min(m.early_until, m.expires)), self._last_moment, m)
         if m.aim_at > self.now:
             self._at(max(self.now, m.aim_at - self._cost(m)), self._grow_late, m)
         else:
@@ -245,7 +246,7 @@
         dest = self.dests.setdefault(x.destination, Destination(x.destination))
         ep = self.endpoints.get(x.endpoint)
         if ep is None:
-            route = Route() if self._kind(x.kind).routes_apart else dest.shared
+            route = Route() if self.set.kind(x.kind).routes_apart else dest.shared
             ep = Endpoint(x.endpoint, dest, route, x.phase, x.kind, x.zone, self.random.random())
             self.endpoints[ep.id] = ep
             dest.add(ep)
@@ -254,7 +255,7 @@
         if self.set.rated and 0 < x.rating < math.inf:
             self.listed += x.rating - dest.rating
             dest.rating = x.rating
-            if self._kind(x.kind).batch > 1:
+            if self.set.kind(x.kind).batch > 1:
                 # The limit counts calls: what comes meanwhile travels in one, and is not refused in many.
                 spaced = GATHER * (1 + self.set.rating_off) * self.set.instances / x.rating
                 dest.gather = min(spaced, GATHER_MOST * min(c.aim for c in self.set.classes))
@@ -301,8 +302,8 @@
 
     def _again(self, m: Message, outcome: Outcome, crowded: bool) -> None:
         """After an attempt without delivery: another, spaced, where rules 1 and 2 allow it."""
-        spent = m.sends >= self.set.max_attempts
-        if spent or not may_repeat(m, self.now) or m.expires - self._floor(m.dest) <= self.now:
+        late = m.expires - self._floor(m.dest) <= self.now and self._may_end(m)
+        if m.sends >= self.set.max_attempts or late or not may_repeat(m, self.now):
             self._give_up(m)
             return
         if m.maybe and m.cls.effect is Effect.BY_KEY:
@@ -329,6 +330,9 @@
             self.out.append(Fail(m.id))
             self._end(m)
 
+    def _may_end(self, m: Message) -> bool:
+        return bool(m.maybe) or self.now >= m.early_until - EPS
+
     def _give_up(self, m: Message) -> None:
         """The final answer, at once: a refusal where trying again is harmless, else a failure (rule 2)."""
         harmless = not m.maybe or m.cls.effect is Effect.REPEATABLE or (
@@ -366,7 +370,7 @@
     def _shed(self) -> None:
         """Nearly all places are held: refuse the least worth of the longest queue before the door does so."""
         d = max(self.dests.values(), key=lambda x: x.waiting)
-        if queue := [m for _, m in d.heap if m.waiting]:
+        if queue := [m for _, m in d.heap if m.waiting and self._may_end(m)]:
             self._give_up(max(queue, key=rank))
 
     # --- releasing ------------------------------------------------------------------------------------
@@ -435,8 +439,10 @@
             d.closed = True
             wake = min((at for at, _ in opens), default=math.inf)
             if sick and self.now < head.expires - self._floor(d) < wake < math.inf:
-                self._give_up(head)  # it cannot be served in time: answered at once, to free its place
-                d.closed = False
+                if self._may_end(head):
+                    self._give_up(head)  # it cannot be served in time: answered at once, to free its place
+                    d.closed = False
+                wake = min(wake, max(head.early_until, self.now))
             self._wake(d, wake)
             return None
         route = open_eps[0].route
@@ -492,18 +498,19 @@
         """Release a message, and those that may share its call, to an endpoint."""
         self.calls += 1
         call = Call(self.calls, ep, self.now, set())
-        batch = self._kind(ep.kind).batch
+        batch = self.set.kind(ep.kind).batch
         m: Message | None = head
         while m is not None:
             self._unqueue(m)
             if not m.maybe:
                 m.zone = ep.zone
+            within = repeat_until(m) - self.now if m.cls.effect is Effect.BY_KEY else math.inf
+            self.out.append(Send(m.id, ep.id, max(m.expires - self.now, self.set.resolution), within))
             m.out[m.sends] = call
             m.maybe[m.sends] = self.now
             m.sends += 1
             m.last = ep.id
             call.members.add(m.id)
-            self.out.append(Send(m.id, ep.id, max(m.expires - self.now, self.set.resolution)))
             m = self._head(d) if len(call.members) < batch else None
             if m is not None and (ep.route.sick or not self._may_join(m, ep)):
                 m = None
@@ -525,9 +532,7 @@
         """Charge a call or a probe to the pace and to the bucket."""
         d, route = ep.dest, ep.route
         route.called = self.now
-        route.sends.append(self.now)
-        while route.sends and route.sends[0] < self.now - RATE_MEMORY:
-            route.sends.pop(0)
+        route.sent(self.now, RATE_MEMORY)
         gap = self._cold_gap(d, route, weight, route.sick)
         if route.pace is not None:
             gap = max(gap, 1.0 / route.pace)  # a limit counts calls, whatever they carry
@@ -639,8 +644,7 @@
             ep.recent = (*ep.recent, True)[-RECENT:]
             route.count, route.full_run = route.count + 1, 0
             route.born = sent if route.born is None else route.born
-            route.rate = route.rate * math.exp((route.rate_at - self.now) / RATE_MEMORY) + 1 / RATE_MEMORY
-            route.rate_at = self.now
+            route.delivered(self.now, RATE_MEMORY)
             # No return is shown by an answer from before the outage, but for one that was silent.
             if ep.bad and (ep.silent or sent >= ep.bad_since):
                 ep.bad = False
@@ -852,9 +856,6 @@
             Route.__init__(old, old.endpoints, wait_until=old.wait_until, count=old.count, sick=sick,
                            sick_since=old.sick_since, next_at=old.next_at)
 
-    def _kind(self, number: int) -> Kind:
-        return self.set.kinds[number] if 0 <= number < len(self.set.kinds) else Kind()
-
     def _over_share(self, tenant: int) -> bool:
         """Whether a message lies beyond this node's part of its tenant's quota: a bucket of one second."""
         return 0 <= tenant < len(self.shares) and not self.shares[tenant].take(self.now)
--- a/nickelscale/state.py
+++ b/nickelscale/state.py
@@ -33,6 +33,7 @@
     maybe: dict[int, float] = field(default_factory=dict)  # attempts that may have run: their send times
     zone: int = 0  # of the first that may have run
     last: int | None = None  # endpoint of the latest attempt
+    early_until: float = 0.0  # before it, what surely has not run is not given up
 
 
 @dataclass(slots=True, eq=False)
@@ -100,6 +101,17 @@
     count: int = 0  # deliveries
     full_since: float = 0.0
 
+    def sent(self, now: float, memory: float) -> None:
+        """Remember a call for so many seconds."""
+        self.sends.append(now)
+        while self.sends[0] < now - memory:
+            self.sends.pop(0)
+
+    def delivered(self, now: float, memory: float) -> None:
+        """Add a delivery to a rate that fades within so many seconds."""
+        self.rate = self.rate * math.exp((self.rate_at - now) / memory) + 1 / memory
+        self.rate_at = now
+
     def lately(self, now: float, memory: float) -> float:
         """Calls a second that were delivered lately, by a memory that fades within so many seconds."""
         if self.born is None:
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -6,7 +6,7 @@
 import random
 
 from nickelscale.interface import Cancel, Close, Endpoint, Listed, ListScope, Outcome, Send, Watch
-from tests.helpers import KEYED, ONCE, ORDERED, SAFE, Node, sends, settings
+from tests.helpers import KEYED, ONCE, ORDERED, SAFE, Node, failed, refused, sends, settings
 
 
 def warm(node: Node, destination: int, latency: float = 0.2, count: int = 10) -> None:
@@ -487,3 +487,16 @@
             node.run(gap - 0.01)
         parts.append(node.sender._part())
     assert parts[0] > 0.3 and parts[1] < 0.02
+
+
+def test_a_message_of_a_sick_destination_is_not_given_up_early() -> None:
+    # Terms at full size: one that surely has not run and is returned before seven tenths of its time is priced.
+    node = Node(settings(warm_within=60.0, fall_span=30.0))
+    node.arrive(count=4)
+    node.run(0.1)
+    for message in (1, 2, 3, 4):
+        node.settle(message, Outcome.CONNECT_FAILED)
+    node.arrive(count=5)
+    seen = node.run(13.8)
+    assert refused(seen) == [] and failed(seen) == []
+    assert set(refused(node.run(6.2))) == set(range(1, 10))
--- a/tests/test_six_rules.py
+++ b/tests/test_six_rules.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import math
+
 import pytest
 
-from nickelscale.interface import DedupScope, Effect, Endpoint, Kind, MessageClass, Outcome
+from nickelscale.interface import DedupScope, Effect, Endpoint, Kind, MessageClass, Outcome, Send
 from tests.helpers import KEYED, ONCE, ORDERED, SAFE, Node, failed, gone, refused, sends, settings
 
 
@@ -49,6 +51,17 @@
     assert failed(seen) == [1]
 
 
+def test_2_a_keyed_send_says_until_when_its_call_may_begin() -> None:
+    # Seen on join+mass: a repeat waited behind a dial of up to 1 s and was written after its window.
+    node = Node(settings(KEYED, ONCE))
+    assert [a.within for a in node.arrive() if isinstance(a, Send)] == [math.inf]
+    node.run(4.0)
+    again = [a for a in node.settle(1, Outcome.RESET) + node.run(0.9) if isinstance(a, Send)]
+    assert len(again) == 1
+    assert node.sent_at[1, 1] + again[0].within == pytest.approx(105.0, abs=0.03)
+    assert [a.within for a in node.arrive(cls=1) if isinstance(a, Send)] == [math.inf]
+
+
 def test_2_a_window_that_ends_on_the_clocks_own_rounding_still_binds() -> None:
     # Seen on a bench day: the timer came one rounding step early and the end of the window was never met.
     node = Node(settings(KEYED, slots=2))
