End a connection whose answer was cut, and hand notices over again after 0.3 s

Server._write sent once and looked at what was left only to withdraw the message: the client sat with half an answer until its own time was up. Such a connection is ended now and counted (answers_cut); pages and 400s go the same way, which blocked on a client that does not read.

Registry waited 1 s for a dial and 1 s for the 204: a platform that swallowed one notice made every end behind it later than 0.3 s after its time. Both are 0.3 s, then it goes again by a new connection; a notice for what is over does no harm. The test plays 450 ends at once over a reset, a silent, a half and a refusing answer.

--- a/juniperward/forwarder/registry.py
+++ b/juniperward/forwarder/registry.py
@@ -19,7 +19,9 @@
 
 SILENT = 3.5  # seconds without a line after which a watch is dead; one comes every 2
 DIAL = 1.0
-NOTICE_WAIT = 1.0  # seconds for the answer to notices; it comes straight away
+# Seconds for a connection for notices, and for their answer, which comes straight away. Beyond that they go again by
+# another connection: twice this fits between a message's last moment and 0.3 s after its time.
+NOTICE_WAIT = 0.3
 NOTICE_AGAIN = (0.05, 0.4)  # seconds before notices are handed over again: first, most
 NOTICES_AT_ONCE = 200
 
@@ -142,7 +144,7 @@
             sock, address = self._socket("notices")
             connection = (sock, Stream(sock.recv), f"{address[0]}:{address[1]}")
             try:
-                sockets.connect(*address, DIAL, sock)
+                sockets.connect(*address, NOTICE_WAIT, sock)
                 sockets.limit(sock, socket.SO_RCVTIMEO, NOTICE_WAIT)
                 if address != self.address:
                     raise Broken("the registry has moved")
--- a/juniperward/forwarder/server.py
+++ b/juniperward/forwarder/server.py
@@ -126,10 +126,15 @@
         return told and not left
 
     def _write(self, client: Client, data: bytes) -> bool:
+        """Write an answer whole, or end the connection: a client must not wait for the rest of one."""
         try:
-            return client.sock.send(data, socket.MSG_DONTWAIT | socket.MSG_NOSIGNAL) == len(data)
+            if client.sock.send(data, socket.MSG_DONTWAIT | socket.MSG_NOSIGNAL) == len(data):
+                return True
         except OSError:
-            return False
+            pass
+        count("answers_cut")
+        sockets.shut(client.sock)
+        return False
 
     def _accept(self) -> None:
         while True:
@@ -229,7 +234,7 @@
             client.close = asked.close
             self._hand_in(client, asked, at)
         else:
-            client.sock.sendall(self._page(asked))
+            self._write(client, self._page(asked))
         if asked.close or client.close or self.stopping:
             self._linger(client)
             return False
@@ -264,7 +269,7 @@
             call = decode_call(asked, self.names)
         except BadCall as error:
             count("calls_unreadable")
-            client.sock.sendall(encode_reply(400, 0.0, asked.close or self.stopping, str(error)))
+            self._write(client, encode_reply(400, 0.0, asked.close or self.stopping, str(error)))
             return
         with client.lock:
             client.answered.clear()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -171,6 +171,22 @@
         self.assertFalse(server.answer(2, 202))
 
 
+    def test_an_answer_is_written_whole_or_its_connection_is_ended(self) -> None:
+        # Guards a client that waits for the rest of an answer: its message counted as withdrawn, and it sat there.
+        server = Server(("127.0.0.1", 0), NAMES, 3, lambda event: None)
+        self.addCleanup(server.close)
+        ours, theirs = socket.socketpair()
+        self.addCleanup(ours.close)
+        self.addCleanup(theirs.close)
+        ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        client = server.clients[1] = Client(1, ours)
+        self.assertFalse(server._write(client, b"x" * 1_000_000))
+        client.pending = True
+        self.assertFalse(server.answer(1, 202))
+        theirs.settimeout(5.0)
+        while theirs.recv(65536):
+            pass
+
     def test_a_full_table_lets_the_longest_idle_of_those_answered_go(self) -> None:
         # Guards usual clients: those that asked once and stayed, or never asked, kept all places. A crowd
         # with a connection for each message was turned away when each had to stay idle for seconds.
--- /dev/null
+++ b/tests/test_notices.py
@@ -0,0 +1,76 @@
+"""Notices over connections that fail in each way: every end arrives, whole and soon."""
+
+from __future__ import annotations
+
+import json
+import queue
+import socket
+import threading
+import time
+import unittest
+
+from juniperward.forwarder.config import Names
+from juniperward.forwarder.messages import Event, Notice, Noticed
+from juniperward.forwarder.registry import NOTICE_WAIT, Registry
+from juniperward.net.http import Broken, Closed, Stream, read_call
+
+OK = b"HTTP/1.1 204 No Content\r\n\r\n"
+COUNT = 450  # messages that end in the same moment: more than go at once
+
+
+class Platform:
+    """Takes notices; each connection has an answer of its own, the last one's is whole."""
+
+    def __init__(self, *answers: bytes | None) -> None:
+        self.door = socket.create_server(("127.0.0.1", 0))
+        self.answers, self.taken, self.socks = list(answers), set[str](), list[socket.socket]()
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def _run(self) -> None:
+        while True:
+            try:
+                sock, _ = self.door.accept()
+            except OSError:
+                return
+            self.socks.append(sock)
+            threading.Thread(target=self._serve, args=(sock, self.answers.pop(0) if self.answers else OK)).start()
+
+    def _serve(self, sock: socket.socket, answer: bytes | None) -> None:
+        stream = Stream(sock.recv)
+        try:
+            while True:
+                call = read_call(stream)
+                if answer == OK:
+                    self.taken |= {json.loads(line)["id"] for line in call.body.splitlines()}
+                if answer is None:
+                    sock.close()
+                    return
+                sock.sendall(answer)
+        except (Broken, Closed, OSError):
+            sock.close()
+
+    def close(self) -> None:
+        """End everything."""
+        for sock in (self.door, *self.socks):
+            sock.close()
+
+
+class NoticesTest(unittest.TestCase):
+    def test_every_end_arrives_over_connections_that_fail(self) -> None:
+        # Guards rule 1: reset after writing, never answered, half answered, refused; many ends at once.
+        platform = Platform(None, b"", b"HTTP/1.1 20", b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n")
+        self.addCleanup(platform.close)
+        events: queue.Queue[Event] = queue.Queue()
+        registry = Registry(platform.door.getsockname(), Names((), (), (), (), ()), events.put)
+        registry.start()
+        began = time.monotonic()
+        registry.notify(tuple(Notice(f"m{n}", 0.5 if n % 2 else None) for n in range(COUNT)))
+        told: set[str] = set()
+        while len(told) < COUNT:
+            event = events.get(timeout=10.0)
+            assert isinstance(event, Noticed)
+            told |= set(event.ids)
+        self.assertEqual(platform.taken, {f"m{n}" for n in range(COUNT)})
+        # Two of the four cost a wait for an answer, each of them a pause of 0.4 s at most.
+        self.assertLess(time.monotonic() - began, 2 * NOTICE_WAIT + 4 * 0.4 + 1.0)
+        self.assertLessEqual(NOTICE_WAIT, 0.3)
