--- a/juniperward/settings/load.py
+++ b/juniperward/settings/load.py
@@ -18,7 +18,7 @@
 
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9_-]{0,31}")
 MOST_PATH = 107  # bytes of a Unix socket's path on Linux
-MOST_INSTANCES = 1000
+MOST_INSTANCES = 4096  # of one agent: a process and a socket each; no list of forwarders is cut below 1,024
 PARTS = re.compile(r"^(restart|patience|roll|logs|kept)\.(?:(pace)\.)?")
 
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -18,7 +18,7 @@
 from juniperward.forwarder.config import Names
 from juniperward.forwarder.messages import Answered, Call, Delegate, End, Parcel, Progress
 from juniperward.forwarder.server import Client, Server
-from juniperward.forwarder.workers import Kept, read_ends, read_wait
+from juniperward.forwarder.workers import Job, Kept, read_ends, read_wait
 from juniperward.net import sockets
 from juniperward.net.http import Broken, HttpCall, Malformed, Response, Stream, read_call, read_response
 from nickelscale.interface import Outcome
@@ -320,6 +320,23 @@
                 self.assertEqual(left, set(struck))  # the reducer has settled them
                 self.assertIs(self.workers.strike(1, 1), Progress.WRITTEN)
 
+    def test_an_answer_cut_at_any_byte_leaves_no_message_without_its_end(self) -> None:
+        body = b'[{"id":"m0","state":"ok"},{"id":"m1","state":"later"}]'
+        head = b"HTTP/1.1 200 OK\r\nX-Backend-Load: {}\r\nContent-Length: %d\r\n\r\n" % len(body)
+        text, first = head + body, head.index(b"\n") + 1
+        for count in (1, 2):
+            what = delegate(1, self.port, count)
+            for cut in range(len(text)):
+                ours, theirs = socket.socketpair()
+                theirs.sendall(text[:cut])
+                theirs.shutdown(socket.SHUT_WR)
+                ends = self.workers._exchange(Job(what), what, Kept(ours, ("w", 1)), True)
+                theirs.close()
+                self.assertEqual([e.message for e in ends], list(range(count)))
+                # Of one message a first line with 200 is its delivery; of several, what is not whole may have run.
+                told = Outcome.OK if count == 1 and cut >= first else Outcome.RESET
+                self.assertEqual({e.outcome for e in ends}, {told}, text[:cut])
+
     def test_a_refused_dial_never_ran(self) -> None:
         self.door.close()
         self.workers.delegate(delegate(1, self.port))
--- a/tests/test_second_deployment.py
+++ b/tests/test_second_deployment.py
@@ -9,9 +9,11 @@
 import time
 import unittest
 from pathlib import Path
+from unittest import mock
 
+from juniperward.forwarder import registry as registry_module
 from juniperward.forwarder.config import Names
-from juniperward.forwarder.messages import Event, Heard, Hold, Look, Looked, WatchFrom, WatchLost
+from juniperward.forwarder.messages import Event, Heard, Hold, Look, Looked, Wake, WatchFrom, WatchLost
 from juniperward.forwarder.reducer import Reducer
 from juniperward.forwarder.registry import Registry
 from juniperward.forwarder.workers import read_report
@@ -90,6 +92,32 @@
         # A broken line ends the watch, counted; the next one goes on from 50.
         self.assertIsInstance(got[3], WatchLost)
 
+    def test_a_watch_that_falls_silent_is_broken_and_opened_anew(self) -> None:
+        # Guards the 6 s after which what a silent watch misses counts as told: a drain among it.
+        self.assertLess(registry_module.SILENT, 4.0)
+        door = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(door.close)
+        events: queue.Queue[Event] = queue.Queue()
+        registry = Registry(door.getsockname(), Names(("c",), (12.0,), (), ("m2",), ("a",)), events.put)
+        reducer = Reducer(settings(ONCE, on_request=True), 1)
+        with mock.patch.object(registry_module, "SILENT", 0.1):
+            registry.start()
+            registry.watch(41, 0)
+            sock, _ = door.accept()
+            self.addCleanup(sock.close)
+            sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")
+            lost = events.get(timeout=5.0)
+            self.assertEqual(lost, WatchLost(0))
+        now = 100.0
+        effects = reducer.reduce(now, [Heard(41, True, (worker(),), known=True)])
+        effects = reducer.reduce(now, [lost])
+        while not (again := [e for e in effects if isinstance(e, WatchFrom)]):
+            wake = next(e for e in effects if isinstance(e, Wake))
+            now = wake.at
+            effects = reducer.reduce(now, [wake.due])
+        self.assertEqual(again, [WatchFrom(41, 0)])
+        self.assertLess(now, 101.0)
+
     def test_changes_and_gone_take_a_worker_out_and_a_whole_list_leaves_out_the_unnamed(self) -> None:
         reducer = Reducer(settings(ONCE), 1)
         reducer.reduce(100.0, [Heard(41, True, (worker(), worker("s-2")), known=True)])
--- /dev/null
+++ b/tests/test_sizes.py
@@ -0,0 +1,49 @@
+"""Lists of 1,024 forwarders and of 1,024 servers, through the settings, the list and the module."""
+
+from __future__ import annotations
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from juniperward.forwarder.config import read_news
+from juniperward.forwarder.counters import counters
+from juniperward.forwarder.messages import Heard
+from juniperward.rigs.sizes import NAMES, Drive, listed
+from juniperward.settings.load import load
+
+
+class SizesTest(unittest.TestCase):
+    def test_an_agent_keeps_1024_forwarders(self) -> None:
+        # Guards a cap of 1,000 that refused the file.
+        with tempfile.TemporaryDirectory() as name:
+            (Path(name) / "base.json").write_text('{"settings": {}}')
+            rows = "".join(f'instance {{ name: "n{n}" listen: "127.0.0.1:{2000 + n}" }}\n' for n in range(1024))
+            file = Path(name) / "f.textproto"
+            file.write_text('name: "y"\nbase: "base.json"\nregistry: "127.0.0.1:8500"\n' + rows)
+            self.assertEqual(len(load(file).instances), 1024)
+
+    def test_a_forwarder_knows_1024_servers_beside_1024_forwarders(self) -> None:
+        drive = Drive(1024, 1024, 1)
+        drive.list()
+        state = drive.reducer.state
+        self.assertEqual((len(state.workers), len(drive.reducer.sender.endpoints)), (1024, 1024))
+        for destination in range(20):
+            with self.subTest(destination):
+                self.assertIn(destination, state.destinations)
+        drive.message()
+        self.assertEqual((state.held, state.outs), ({}, {}))
+
+    def test_an_entry_that_cannot_be_used_costs_no_other(self) -> None:
+        value = listed(1024)
+        bad = [
+            {"id": "x"}, {**value["servers"][5], "addr": "nowhere"}, {**value["servers"][6], "cell": None},
+            {**value["servers"][7], "state": "Gone?"}, 7,
+        ]  # fmt: skip
+        before = counters().get("registry_entries_unread", 0)
+        news = read_news({**value, "servers": [*bad, *value["servers"]]}, NAMES)
+        self.assertEqual(len(news.workers), 1024)
+        self.assertEqual(counters()["registry_entries_unread"], before + len(bad))
+        drive = Drive(1, 40, 1)
+        drive.do(Heard(9, True, news.workers))
+        self.assertEqual(len(drive.reducer.sender.endpoints), 1024)
