--- a/juniperward/forwarder/journal.py
+++ b/juniperward/forwarder/journal.py
@@ -12,6 +12,7 @@
 import fcntl
 import json
 import os
+import threading
 import time
 import zlib
 from pathlib import Path
@@ -51,9 +52,9 @@
     match record:
         case Taken(call=c, expires=expires, ran_at=ran_at):
             body = base64.b64encode(c.body).decode()
+            ran = ran_at + to_unix if ran_at is not None else None
             row: list[Any] = ["taken", c.id, c.cls, c.tenant, c.destination, c.key, expires + to_unix, body]
-            if ran_at is not None:
-                row.append(ran_at + to_unix)
+            row += [ran, c.time_left]
         case Began(id=name, at=at, worker=worker):
             row = ["began", name, at + to_unix, worker]
         case Ended(id=name, may_have_run=may):
@@ -74,9 +75,10 @@
             return None
         kind, name, *rest = json.loads(text)
         match kind, rest:
-            case "taken", [cls, tenant, destination, key, expires, body, *ran]:
-                call = Call(name, cls, tenant, destination, 0.0, key, base64.b64decode(body))
-                return Taken(call, expires - to_unix, ran[0] - to_unix if ran else None)
+            case "taken", [cls, tenant, destination, key, expires, body, *more]:
+                ran, left = (*more, None, None)[:2]  # an older version wrote neither, or the first alone
+                call = Call(name, cls, tenant, destination, left or 0.0, key, base64.b64decode(body))
+                return Taken(call, expires - to_unix, ran - to_unix if ran is not None else None)
             case "began", [at, worker]:
                 return Began(name, at - to_unix, worker)
             case "ended", [may]:
@@ -148,7 +150,7 @@
 
 
 class Journal:
-    """The file and what it holds; used by one thread only."""
+    """The file and what it holds; `lock` lets the loop and the threads that begin calls write to it."""
 
     def __init__(self, folder: Path, disk_bytes: int, to_unix: float) -> None:
         self.path, self.fresh = folder / NAME, folder / FRESH
@@ -160,6 +162,7 @@
         self.size = 0
         self.file = -1
         self.torn = False  # the latest write did not come to its end
+        self.lock = threading.Lock()
         self.replayed = self._replay()
         self._rewrite()
 
@@ -170,6 +173,10 @@
 
     def append(self, record: Record) -> None:
         """Write a record; raises JournalFull for a message that there is no safe room for, or OSError."""
+        with self.lock:
+            self._append(record)
+
+    def _append(self, record: Record) -> None:
         name = self._name(record)
         if isinstance(record, Taken):
             line = encode(record, self.to_unix)
--- a/juniperward/forwarder/loop.py
+++ b/juniperward/forwarder/loop.py
@@ -131,7 +131,7 @@
             case Reply(client=client, status=status, retry_after=wait):
                 self.server.answer(client, status, wait)
             case Append(record=record):
-                self._append(record)
+                self.note(record)
             case Delegate() | Look():
                 self.workers.delegate(effect)
             case Abandon(delegation=number):
@@ -197,7 +197,8 @@
         self.server.answer(client, 503, BACK)
         return False
 
-    def _append(self, record: Record) -> None:
+    def note(self, record: Record) -> None:
+        """Write a record; the threads that begin calls do so too."""
         try:
             self.journal.append(record)
         except OSError as error:
--- a/juniperward/forwarder/messages.py
+++ b/juniperward/forwarder/messages.py
@@ -56,6 +56,7 @@
     room: float | None = None
     limit: float | None = None
     table_full: bool = False  # the worker is there, and takes no more connections
+    begun: bool = True  # whether a byte of its call may have been written, so that the journal has it
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,7 +81,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Began:
-    """A delegation of a message is about to start."""
+    """The first byte of a message's call is about to be written."""
 
     id: str
     at: float
@@ -319,6 +320,7 @@
     destination: int
     parcels: tuple[Parcel, ...]
     deadline: float
+    name: str = ""  # the registry's of the worker, for the journal
 
 
 @dataclass(frozen=True, slots=True)
--- a/juniperward/forwarder/reducer.py
+++ b/juniperward/forwarder/reducer.py
@@ -19,7 +19,6 @@
     Answered,
     Append,
     Asked,
-    Began,
     Call,
     CalledOff,
     CloseIdle,
@@ -79,6 +78,8 @@
 SPARE, SPARE_PART = 0.3, 0.2
 PROBE_WAIT = 1.5  # of the dial timeout: a dial, then an answer that is work of milliseconds at a live worker
 AGAIN_AFTER = 0.05  # seconds after which the module is asked again where it failed
+# Seconds after a restart in which no notice is overdue (1.5 after being ready), less what one may take.
+RETURN = 1.5 - SPARE
 LAST_START = 0.9  # seconds before the process must end after which no delegation is started
 
 
@@ -88,7 +89,7 @@
 
 def _early(held: Held) -> float:
     """Until when it is too early to end a message undelivered; its time is that which its client gave it."""
-    return held.expires + _spare(held.call) - (1 - EARLY) * held.call.time_left
+    return held.due - (1 - EARLY) * held.call.time_left
 
 
 class Reducer(Listing):
@@ -220,7 +221,8 @@
             self.effects.append(Reply(e.client, 503, DOOR_WAIT))
             return
         s.last_message += 1
-        held = Held(s.last_message, e.call, e.at + e.call.time_left - _spare(e.call), now)
+        due = e.at + e.call.time_left
+        held = Held(s.last_message, e.call, due - _spare(e.call), now, due)
         if e.call.ran is not None:
             held.ran_at, held.attempts = e.at - e.call.ran, 1
         s.offered[held.number] = held
@@ -254,15 +256,19 @@
             self._owe(r.notice)
             return
         s.last_message += 1
-        held = Held(s.last_message, r.call, r.expires, now, len(r.history))
+        # Right after a restart its notice may come later, so that all of its client's time is there to try it.
+        due = r.expires + _spare(r.call)
+        expires = max(r.expires, min(due, now + RETURN))
+        held = Held(s.last_message, r.call, expires, now, due, not r.history, len(r.history))
         held.ran_at = min((d.at for d in r.history if d.may_have_run), default=None)
         if self.keeps:
             held.story = [
                 Tried(d.worker, d.at, "unknown" if d.may_have_run else "never_ran", d.may_have_run)
                 for d in r.history
             ]
-        if r.expires <= now or r.call.id in self.kept:
+        if expires <= now or r.call.id in self.kept:
             # One that is kept was given up; its end is what the kill cut off.
+            count("restored_overdue" if expires <= now else "restored_kept")
             self._give_up(held, now, None)
             return
         s.held[held.number] = held
@@ -273,8 +279,8 @@
         c = r.call
         self.news.append(
             i.Arrived(
-                held.number, c.cls, c.destination, r.expires - now, c.tenant, c.key, history=history,
-                early=_early(held) - now,
+                held.number, c.cls, c.destination, expires - now, c.tenant, c.key, history=history,
+                early=expires - now, owed=held.owed,
             )
         )
 
@@ -301,6 +307,9 @@
         over = end.over or end.outcome is i.Outcome.OK
         if held is not None:
             held.out = None
+            if held.owed and end.begun:
+                held.owed = False
+                count("restored_tried")
             if not end.outcome.never_ran and not over and held.ran_at is None:
                 held.ran_at = held.began_at
             if self.keeps:
@@ -314,7 +323,7 @@
                     name = "delivered" if end.outcome is i.Outcome.OK else "undeliverable"
                     self.effects.append(Remember(held.call.id, name, held.ran_at))
                 self.effects.append(Append(Over(held.call.id)))
-            else:
+            elif end.begun:
                 self.effects.append(Append(Ended(held.call.id, not end.outcome.never_ran)))
         if end.wait > 0:
             self.effects.append(Hold(worker.destination, now + end.wait))
@@ -340,8 +349,8 @@
             return
         never = e.progress is Progress.WAITS
         held = self.state.held.get(e.message)
-        due = held.expires + _spare(held.call) if held is not None else now
-        self._settle(now, out, End(e.message, i.Outcome.MOOT if never else i.Outcome.TIMEOUT))
+        due = held.due if held is not None else now
+        self._settle(now, out, End(e.message, i.Outcome.MOOT if never else i.Outcome.TIMEOUT, begun=not never))
         if e.progress is Progress.WRITES or not out.waiting:
             # Half a call cannot lose one of its messages: what is not written whole yet is called off whole.
             self._called_off(now, e.delegation)
@@ -432,6 +441,8 @@
         """The message is over. A delegation that is still out goes on to its own end."""
         held = self.state.held.get(number)
         if held is not None:
+            if held.owed:
+                count("restored_given_up_untried")
             self._forget(held, now)
             self._give_up(held, now, again)
         else:
@@ -486,7 +497,7 @@
                 self.effects.append(Wake(now, CalledOff(out.number)))
 
     def _start(self, now: float, out: Out, w: Worker, asked: list[i.Send]) -> None:
-        """Journal the attempts of one call, then make it."""
+        """Make a call; its thread journals the attempts right before their first byte."""
         parcels = []
         for a in asked:
             held = self.state.held[a.message]
@@ -496,11 +507,10 @@
             held.attempts += 1
             held.out, held.began_at = out.number, now
             parcels.append(Parcel(a.message, held.call, now + a.within))
-            self.effects.append(Append(Began(held.call.id, now, w.id)))
             self.effects.append(Wake(now + a.timeout, TimeUp(out.number, a.message)))
         holds(len(self.state.outs) <= self.settings.slots, "no_more_calls_than_slots")
         count("delegations")
         deadline = now + max(a.timeout for a in asked)
         self.effects.append(
-            Delegate(out.number, out.worker, w.host, w.port, w.destination, tuple(parcels), deadline)
+            Delegate(out.number, out.worker, w.host, w.port, w.destination, tuple(parcels), deadline, w.id)
         )
--- a/juniperward/forwarder/state.py
+++ b/juniperward/forwarder/state.py
@@ -15,6 +15,8 @@
     call: Call
     expires: float
     since: float  # when it came into this process
+    due: float = 0.0  # the end of its client's time; `expires` is before it by what its notice may take
+    owed: bool = False  # an earlier life took it on, and no byte of a call was written for it so far
     attempts: int = 0
     out: int | None = None  # number of the delegation that carries it
     began_at: float = 0.0  # of the latest attempt
--- a/juniperward/forwarder/workers.py
+++ b/juniperward/forwarder/workers.py
@@ -15,7 +15,18 @@
 from typing import Any
 
 from juniperward.forwarder.counters import count, log, trouble
-from juniperward.forwarder.messages import Answered, Delegate, End, Event, Look, Looked, Parcel, Progress
+from juniperward.forwarder.messages import (
+    Answered,
+    Began,
+    Delegate,
+    End,
+    Event,
+    Look,
+    Looked,
+    Parcel,
+    Progress,
+    Record,
+)
 from juniperward.forwarder.trace import Trace
 from juniperward.net import sockets
 from juniperward.net.http import Broken, Malformed, Response, Stream, encode_call, read_response
@@ -80,10 +91,11 @@
 
     def __init__(
         self, dial_timeout: float, keepalive: float, most_threads: int, most_idle: int,
-        post: Callable[[Event], None],
+        post: Callable[[Event], None], note: Callable[[Record], None] = lambda record: None,
     ) -> None:  # fmt: skip
         self.dial_timeout, self.keep = dial_timeout, keepalive * KEEP_PART
-        self.most_threads, self.most_idle, self.post = most_threads, most_idle, post
+        self.most_threads, self.most_idle, self.post, self.note = most_threads, most_idle, post, note
+        self.ended = False  # nothing is begun any more
         self.lock = threading.Lock()
         self.jobs: queue.SimpleQueue[Job] = queue.SimpleQueue()
         self.active: dict[int, Job] = {}
@@ -187,6 +199,11 @@
         for k in old:
             k.sock.close()
 
+    def end(self) -> None:
+        """Begin nothing any more: what would be written from here on, the journal's next reader might not find."""
+        with self.lock:
+            self.ended = True
+
     # --- threads --------------------------------------------------------------------------------------
 
     def _work(self) -> None:
@@ -260,7 +277,7 @@
         if kept is None:
             kept = self._dial(job, address)
             if kept is None:
-                return _all(what, Outcome.CONNECT_FAILED)
+                return _all(what, Outcome.CONNECT_FAILED, begun=False)
         else:
             job.sock = kept.sock
             count("connections_reused")
@@ -269,12 +286,12 @@
             # It waited behind a dial: what came meanwhile from the registry or the worker binds it.
             count("delegations_withheld")
             self._put_back(what.worker, kept)
-            return _all(what, Outcome.MOOT)
+            return _all(what, Outcome.MOOT, begun=False)
         # What ended meanwhile was told its end: sent on now it would run, and be brought a second time.
         if len(parcels) == len(what.parcels):
             return self._exchange(job, what, kept, fresh)
         count("messages_left_out", len(what.parcels) - len(parcels))
-        ends = {end.message: end for end in _all(what, Outcome.MOOT)}
+        ends = {end.message: end for end in _all(what, Outcome.MOOT, begun=False)}
         ends |= {end.message: end for end in self._exchange(job, replace(what, parcels=parcels), kept, fresh)}
         return tuple(ends.values())
 
@@ -329,17 +346,23 @@
         return Kept(sock, address)
 
     def _begin(self, job: Job) -> tuple[Parcel, ...] | None:
-        """Begin to write, unless that is barred by now (None); the messages that may still be written."""
+        """Begin to write, unless that is barred by now (None); the messages that may still be written.
+
+        They are journalled here, before their first byte and not when the module decided: a process killed while
+        a call waits for its connection leaves its messages untried.
+        """
         what, now = job.what, time.monotonic()
         with self.lock:
             free = what.worker not in self.barred and now >= self.held.get(what.destination, -math.inf)
-            if not free or job.abandoned or now >= what.deadline:
+            if not free or job.abandoned or self.ended or now >= what.deadline:
                 return None
             if isinstance(what, Look):
                 return ()
             parcels = tuple(p for p in what.parcels if p.message not in job.struck and now < p.until)
             if parcels:
                 job.progress = Progress.WRITES
+            for p in parcels:
+                self.note(Began(p.call.id, now, what.name))
             return parcels
 
     def _take_idle(self, worker: int, address: tuple[str, int]) -> Kept | None:
--- a/nickelscale/interface.py
+++ b/nickelscale/interface.py
@@ -242,6 +242,7 @@
     size_hint: float = 0.0
     history: tuple[Tried, ...] = ()
     early: float | None = None  # seconds for which it is too early to end it undelivered; None: a part of the budget
+    owed: bool = False  # an earlier life took it on and never tried it: its first attempt goes before the others'
 
 
 @dataclass(frozen=True, slots=True)
--- a/nickelscale/rules.py
+++ b/nickelscale/rules.py
@@ -74,9 +74,9 @@
 EPS = 1e-9
 
 
-def rank(m: Message) -> tuple[float, int]:
-    """Place in a queue: what a delivery is worth now, then the order taken."""
-    return (-m.value * (m.cls.late_worth if m.late else 1.0), m.seq)
+def rank(m: Message) -> tuple[bool, float, int]:
+    """Place in a queue: first tries owed over a restart, what a delivery is worth now, the order taken."""
+    return (not m.owed or m.sends > 0, -m.value * (m.cls.late_worth if m.late else 1.0), m.seq)
 
 
 def repeat_until(m: Message) -> float:
@@ -152,7 +152,7 @@
         key = e.key if cls.in_order else None
         m = Message(e.message, cls, e.cls, dest, key, self.now + e.budget, value, self.seq)
         m.aim_at = m.expires - cls.deadline + cls.aim
-        m.early_until = self.now + (EARLY * e.budget if e.early is None else e.early)
+        m.owed, m.early_until = e.owed, self.now + (EARLY * e.budget if e.early is None else e.early)
         self.messages[m.id] = m
         self.held += 1
         if m.key is not None:
--- a/nickelscale/state.py
+++ b/nickelscale/state.py
@@ -34,6 +34,7 @@
     zone: int = 0  # of the first that may have run
     last: int | None = None  # endpoint of the latest attempt
     early_until: float = 0.0  # before it, what surely has not run is not given up
+    owed: bool = False  # an earlier life took it on and never tried it
 
 
 @dataclass(slots=True, eq=False)
@@ -127,7 +128,7 @@
     id: int
     endpoints: dict[int, Endpoint] = field(default_factory=dict)
     shared: Route = field(default_factory=Route)
-    heap: list[tuple[tuple[float, int], Message]] = field(default_factory=list)
+    heap: list[tuple[tuple[bool, float, int], Message]] = field(default_factory=list)
     waiting: int = 0
     on_ring: bool = False
     deficit: float = 0.0
--- /dev/null
+++ b/tests/test_restarts.py
@@ -0,0 +1,202 @@
+"""What a restart finds taken on and untried: it is known as untried, and it is tried."""
+
+from __future__ import annotations
+
+import shutil
+import tempfile
+import threading
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+from juniperward.forwarder.counters import counters
+from juniperward.forwarder.journal import NAME, Journal
+from juniperward.forwarder.messages import (
+    Answered,
+    Call,
+    Delegate,
+    Delegated,
+    Effect,
+    End,
+    Event,
+    Heard,
+    Notify,
+    Parcel,
+    Replayed,
+    Restored,
+    Taken,
+    Wake,
+)
+from juniperward.forwarder.reducer import RETURN, Reducer
+from juniperward.forwarder.workers import Workers
+from juniperward.net import sockets
+from nickelscale.interface import MessageClass, Outcome
+from tests.helpers import SAFE, settings
+from tests.rigs import WorkerRig
+from tests.test_reducer import ReducerTest, call, worker
+
+
+class FirstByteTest(WorkerRig):
+    __test__ = True
+
+    def setUp(self) -> None:
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.journal = self.open()
+        for n in range(2):
+            self.journal.append(Taken(Call(f"m{n}", 0, 0, 7, 9.0, None, b""), 1e6))
+        self.workers = Workers(1.0, 10.0, 4, 4, self.events.put, self.journal.append)
+
+    def open(self) -> Journal:
+        journal = Journal(self.folder, 100_000, 0.0)
+        self.addCleanup(journal.close)
+        return journal
+
+    def tried(self) -> list[str]:
+        """What a process that is killed now leaves as tried, by what its next life reads."""
+        with tempfile.TemporaryDirectory() as folder:
+            shutil.copy(self.folder / NAME, folder)
+            journal = Journal(Path(folder), 100_000, 0.0)
+            journal.close()
+        return [r.call.id for r in journal.restored() if r.history]
+
+    def delegate(self, count: int = 2) -> Delegate:
+        parcels = tuple(Parcel(n, Call(f"m{n}", 0, 0, 7, 9.0, None, b"")) for n in range(count))
+        return Delegate(1, 3, "127.0.0.1", self.port, 7, parcels, 1e12, "s-3")
+
+    def test_a_kill_while_a_call_waits_for_its_connection_leaves_its_messages_untried(self) -> None:
+        # Guards a restart amid dials: what never went out counted as what may have run, and was failed untried.
+        up, dial = threading.Event(), sockets.connect
+
+        def late(*args: Any) -> None:
+            up.wait(5.0)
+            dial(*args)
+
+        with mock.patch("juniperward.net.sockets.connect", late):
+            self.workers.delegate(self.delegate())
+            self.assertEqual(self.tried(), [])
+            self.workers.strike(1, 1)
+            up.set()
+            sock, _ = self.door.accept()
+            self.addCleanup(sock.close)
+            self.assertTrue(sock.recv(1))  # never the other way: what a byte was written of is known as tried
+            self.assertEqual(self.tried(), ["m0"])  # the one struck off it is not
+
+    def test_a_call_that_is_not_begun_leaves_an_earlier_try_as_it_was(self) -> None:
+        # Guards rule 2: the end of a call that was never written must not clear one before it that may have run.
+        self.workers.delegate(self.delegate(1))
+        sock, _ = self.door.accept()
+        sock.recv(1)
+        self.door.close()
+        sock.close()
+        self.assertEqual(self.answered(), [End(0, Outcome.RESET)])
+        self.workers.delegate(self.delegate(1))
+        self.assertEqual(self.answered(), [End(0, Outcome.CONNECT_FAILED, begun=False)])
+        self.assertEqual(self.tried(), ["m0"])
+
+    def test_nothing_is_begun_once_the_process_ends(self) -> None:
+        # Guards the last moment: the next life may have read the journal already.
+        self.workers.end()
+        self.workers.delegate(self.delegate())
+        sock, _ = self.door.accept()
+        self.addCleanup(sock.close)
+        self.assertEqual({e.outcome for e in self.answered()}, {Outcome.MOOT})
+        self.workers.close_idle(3)
+        self.assertEqual((sock.recv(1), self.tried()), (b"", []))
+
+    def answered(self) -> list[End]:
+        event = self.events.get(timeout=5.0)
+        assert isinstance(event, Answered)
+        return list(event.ends)
+
+    def test_the_threads_and_the_loop_write_whole_lines(self) -> None:
+        failed: list[Exception] = []
+
+        def write() -> None:
+            try:
+                for _ in range(200):
+                    self.journal.append(Taken(Call("m9", 0, 0, 7, 9.0, None, b"x" * 200), 1e6))
+            except Exception as error:
+                failed.append(error)
+
+        threads = [threading.Thread(target=write) for _ in range(4)]
+        for t in threads:
+            t.start()
+        for t in threads:
+            t.join()
+        self.assertEqual(failed, [])
+        before = counters().get("journal_damaged", 0)
+        self.assertEqual({r.call.id for r in self.open().restored()}, {"m0", "m1", "m9"})
+        self.assertEqual(counters().get("journal_damaged", 0), before)
+
+
+class UntriedTest(ReducerTest):
+    """The reducer and the module after a restart; inherits only the helpers."""
+
+    def begin(self, *restored: Restored, first: MessageClass = SAFE, **more: Any) -> list[Effect]:
+        self.reducer = Reducer(settings(first, SAFE, **more), 1)
+        self.now = 100.0
+        self.do(Heard(41, True, (worker(),), known=True))
+        return self.do(Replayed(restored))
+
+    def run_to(self, until: float, effects: list[Effect], act: Callable[[Event], list[Effect]]) -> list[Effect]:
+        """Fire what is due up to a time; all effects on the way."""
+        seen, timers = list(effects), self.only(effects, Wake)
+        while timers := sorted((w for w in timers if w.at <= until), key=lambda w: w.at):
+            wake = timers.pop(0)
+            self.now = max(self.now, wake.at)
+            new = act(wake.due)
+            seen += new
+            timers += self.only(new, Wake)
+        self.now = until
+        return seen
+
+    def test_what_was_found_untried_goes_before_what_is_worth_more(self) -> None:
+        # Guards the term on restarts: late messages stood behind all that came since, and ended with no call.
+        fresh = MessageClass(aim=4.0, deadline=20.0, worth=50.0, late_worth=1.0)
+        late = [Restored(call(f"r{n}", cls=1), 115.0) for n in range(3)]  # past their aim
+        tried = Restored(call("t", cls=1), 115.0, (Delegated("s-1", 95.0, False),))
+        effects = self.begin(tried, *late, first=fresh, slots=1)
+        before = counters()
+        for n in range(3):
+            self.take(f"f{n}")
+        order = []
+        while sent := self.sent(effects):
+            order += sent[0]
+            self.now += 0.5
+            effects = self.end(effects, (Outcome.ERROR if order == ["r0"] else Outcome.OK, 0.0))
+        # What was tried in either life stands in its place by worth, and by when it came.
+        self.assertEqual(order, ["r0", "r1", "r2", "f0", "f1", "f2", "t", "r0"])
+        gained = {k: v - before.get(k, 0) for k, v in counters().items() if k.startswith("restored_")}
+        self.assertEqual((gained["restored_tried"], gained.get("restored_given_up_untried", 0)), (3, 0))
+
+    def test_all_of_its_clients_time_is_there_to_try_it(self) -> None:
+        # Guards short deadlines: its end was told at once where the time left was less than the spare for notices.
+        soon = Restored(call("soon", left=2.0), 99.9)  # its client's time is up at 100.2
+        over = Restored(call("over", left=2.0), 99.6)
+        effects = self.begin(over, soon)
+        self.assertEqual(self.sent(effects), [["soon"]])
+        self.assertEqual([n.id for t in self.only(effects, Notify) for n in t.notices], ["over"])
+        (d,) = self.only(effects, Delegate)
+        self.assertAlmostEqual(d.deadline, 100.2)
+        self.assertAlmostEqual(RETURN, 1.2)  # no notice is overdue for 1.5 s after a restart
+        effects = self.begin(Restored(call("later", left=8.0), 105.0))  # after that the spare is needed again
+        self.assertAlmostEqual(self.only(effects, Delegate)[0].deadline, 105.0)
+
+    def test_what_is_untried_is_held_to_its_last_moment(self) -> None:
+        # Guards against an end before its time, also where its destination is not there: counted if it was not tried.
+        effects = self.begin(Restored(call("a", destination=5, left=8.0), 105.0))
+        before = counters().get("restored_given_up_untried", 0)
+        seen = self.run_to(104.9, effects, self.do)
+        self.assertEqual(self.only(seen, Notify), [])
+        seen = self.run_to(105.2, self.only(seen, Wake), self.do)
+        self.assertEqual(len(self.only(seen, Notify)), 1)
+        self.assertEqual(counters()["restored_given_up_untried"], before + 1)
+
+
+for _name in [n for n in dir(ReducerTest) if n.startswith("test_")]:
+    setattr(UntriedTest, _name, None)  # they run where they stand
+del ReducerTest
