Answer whoever is still here before the process ends, and reopen silent watches in time

The process now stays until nobody is here and nobody can come, 3.3 s at most (Reducer.finished, Server.alone). - A connection in the kernel's line when the listener closes was reset with its call in it: accepted and answered now. - Events in the queue when the loop ends (a delivery read, a notice accepted, a message handed in) were dropped: one last round takes them in, nothing is begun after it. Watches: a watch with no news between two silences counted as a call that fails, one after another: the module waited 0.5, 1, 2, 4 s before it asked anew, so with the 3.5 s until silence is seen the third came after the 6 s. One that had lived (WatchLost.lived) starts that count anew; calls that fail are spaced ever wider as before.

--- a/juniperward/forwarder/loop.py
+++ b/juniperward/forwarder/loop.py
@@ -49,6 +49,7 @@
 
 AT_ONCE = 500  # events of one round at most
 SWEEP = 1.0  # seconds between looks at idle connections
+STOPPING = 0.05  # seconds between looks at whether the process may end
 BACK = 1.0  # seconds after which a client may come again that the journal had no room for
 
 
@@ -102,8 +103,8 @@
 
     def run(self, stopped: Callable[[], bool]) -> None:
         """Go on until the reducer has finished, or `stopped` says so."""
-        while not stopped() and not self.reducer.finished(time.monotonic()):
-            events = self._wait()
+        while not stopped() and not self.reducer.finished(time.monotonic(), self.server.alone()):
+            events = self._wait(STOPPING if self.reducer.state.stop_at is not None else SWEEP)
             now = time.monotonic()
             while self.timers and self.timers[0][0] <= now:
                 events.append(heapq.heappop(self.timers)[2])
@@ -111,10 +112,13 @@
             if now >= self.sweep_at:
                 self.sweep_at = now + SWEEP
                 self.workers.sweep(now)
+        # What has come by now is journalled and answered; what threads find out later, the next life finds out.
+        self.workers.end()
+        self.round(self._wait(0.0))
 
-    def _wait(self) -> list[Event]:
+    def _wait(self, most: float) -> list[Event]:
         now = time.monotonic()
-        until = min(self.timers[0][0] if self.timers else now + SWEEP, now + SWEEP)
+        until = min(self.timers[0][0] if self.timers else now + most, now + most)
         events: list[Event] = []
         try:
             events.append(self.events.get(timeout=max(until - now, 0.0)))
--- a/juniperward/forwarder/messages.py
+++ b/juniperward/forwarder/messages.py
@@ -193,9 +193,10 @@
 
 @dataclass(frozen=True, slots=True)
 class WatchLost:
-    """The watch failed or ended."""
+    """The watch failed or ended; `lived`: it had been up for a while, with news or without."""
 
     epoch: int = 0
+    lived: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/juniperward/forwarder/reducer.py
+++ b/juniperward/forwarder/reducer.py
@@ -120,13 +120,13 @@
             self._decide(now)
         return self.effects
 
-    def finished(self, now: float) -> bool:
-        """Whether a forwarder that was told to stop has nothing left that it can bring to an end."""
+    def finished(self, now: float, alone: bool = True) -> bool:
+        """Whether a forwarder that was told to stop has nothing left to bring to an end, and no client (`alone`)."""
         s = self.state
         if s.stop_at is None:
             return False
         waiting = bool(s.held) and now <= s.stop_at - LAST_START
-        busy = s.outs or s.owed or s.offered or waiting or now < s.open_until
+        busy = s.outs or s.owed or s.offered or waiting or now < s.open_until or not alone
         return now >= s.stop_at or not busy
 
     def _take(self, now: float, event: Event) -> None:
@@ -153,10 +153,12 @@
                 if event.known:
                     # Where lists are pushed they come only over a watch, whatever the module asks for.
                     self._watch()
-            case WatchLost(epoch=epoch):
+            case WatchLost(epoch=epoch, lived=lived):
                 if epoch == self.state.epoch:
                     count("watches_lost")
                     self.state.watching = False
+                    if lived:  # the module asks again soon: it is no call that failed, one after another
+                        self.news.append(i.Listed(i.ListScope.DELTA))
                     self.news.append(i.Listed(i.ListScope.FAILED))
             case Moved(registry=address):
                 self._move(address)
--- a/juniperward/forwarder/registry.py
+++ b/juniperward/forwarder/registry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import queue
 import socket
 import threading
@@ -34,6 +35,7 @@
     def __init__(self, address: tuple[str, int], names: Names, post: Callable[[Event], None]) -> None:
         self.address, self.names, self.post = address, names, post
         self.epoch = 0  # how often the address has changed
+        self.begun = math.inf  # when the watch was answered
         self.lock = threading.Lock()
         self.open: dict[str, socket.socket] = {}  # of the watch, of the notices
         self.wanted: queue.SimpleQueue[tuple[int, int]] = queue.SimpleQueue()
@@ -75,6 +77,7 @@
     def _watches(self) -> None:
         while True:
             version, epoch = self.wanted.get()
+            self.begun = math.inf
             try:
                 self._watch(version, epoch)
             except (OSError, Broken, Malformed) as error:
@@ -84,7 +87,7 @@
                 log("registry", f"news that cannot be read: {type(error).__name__}: {error}")
             except Exception as error:
                 trouble("registry", error)
-            self.post(WatchLost(epoch))
+            self.post(WatchLost(epoch, time.monotonic() - self.begun >= SILENT))
 
     def _watch(self, version: int, epoch: int) -> None:
         sock, address = self._socket("watch", epoch)
@@ -100,6 +103,7 @@
             if status != 200 or "chunked" not in headers.get("transfer-encoding", "").lower():
                 raise Broken(f"it was answered {status}")
             count("watches_begun")
+            self.begun = time.monotonic()
             objects = Objects()
             for chunk in chunks(stream):
                 for value in objects.feed(chunk):
--- a/juniperward/forwarder/server.py
+++ b/juniperward/forwarder/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import threading
 import time
@@ -73,7 +74,7 @@
         self.clients: dict[int, Client] = {}
         self.lock = threading.Lock()
         self.last = 0
-        self.ready = self.stopping = False
+        self.ready = self.stopping = self.closed = False
         self.leave = False  # answers end their connections: clients are to go elsewhere
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -101,9 +102,19 @@
                     sockets.shut(client.sock, socket.SHUT_RD)
 
     def close(self) -> None:
-        """Accept no more."""
+        """Accept no more; who stands in the kernel's line is still answered, or a close would reset them."""
+        self.listener.setblocking(False)
+        with contextlib.suppress(OSError):
+            while True:
+                self._admit(self.listener.accept()[0])
         sockets.shut(self.listener)
         self.listener.close()
+        self.closed = True
+
+    def alone(self) -> bool:
+        """Whether nobody is here and nobody can come."""
+        with self.lock:
+            return self.closed and not self.clients
 
     def answer(self, number: int, status: int, retry_after: float = 0.0) -> bool:
         """Write the answer that a client waits for; whether it was there to be told."""
--- a/juniperward/forwarder/start.py
+++ b/juniperward/forwarder/start.py
@@ -79,7 +79,7 @@
 def run(config: Config) -> int:
     """Serve until a signal ends it."""
     threading.stack_size(STACK)
-    lock = take_folder(config.state)  # held until the process ends
+    take_folder(config.state)  # held until the process ends, and not a moment less: its threads still write
     loop = build(config)
     if os.environ.get("ROUTER_TRACE"):
         loop.trace = loop.workers.trace = Trace(time.time() - time.monotonic())
@@ -126,7 +126,6 @@
     done.set()
     if control is not None:
         control.close()
-    os.close(lock)
     log("stop", "ended")
     report()
     sys.stderr.flush()
--- a/tests/player.py
+++ b/tests/player.py
@@ -1,15 +1,15 @@
 """Plays recorded byte exchanges against the program.
 
 An exchange is a text file. A line that starts with `#` is a comment. `@ NAME WHO` opens, or goes on with, a
-connection; WHO says who dials: `client` (we dial the forwarder) or `worker`, `registry` (the forwarder dials
-us; the registry's connections are told apart by the first letter they write: `registry GET` or `registry
-POST`). `> TEXT` is written to the forwarder, `< TEXT` is what it must write; both end with a line end (CR LF)
-unless the line closes with a backslash. `<~ REGEX` matches one line instead. `= end` expects the forwarder to
-end the connection, `= close` closes ours, `= silent` expects that nothing has come on it. `! stop`
-sends SIGTERM, `! ended` expects that it exits with 0 in the time that it has, `! start` starts it in the same
-folder, and `! restart` kills it and does so. `! reload` moves the registry to another address, writes that to
-the configuration and sends SIGHUP; `! reload TEXT` writes TEXT in its place. `+ NAME ARGS` plays the file
-NAME.block with its arguments put in for $1, $2 and so on.
+connection; WHO says who dials: `client` (we dial the forwarder) or `worker`, `registry` (the forwarder dials us;
+the registry's connections are told apart by the first letter they write: `registry GET` or `registry POST`). `>
+TEXT` is written to the forwarder, `< TEXT` is what it must write; both end with a line end (CR LF) unless the line
+closes with a backslash. `<~ REGEX` matches one line instead. `= end` expects the forwarder to end the connection,
+`= close` closes ours, `= silent` expects that nothing has come on it. `! stop` sends SIGTERM, `! closed` waits
+until nobody can connect any more, `! ended` expects that it exits with 0 in the time that it has, `! start` starts
+it in the same folder, and `! restart` kills it and does so. `! reload` moves the registry to another address,
+writes that to the configuration and sends SIGHUP; `! reload TEXT` writes TEXT in its place. `+ NAME ARGS` plays the
+file NAME.block with its arguments put in for $1, $2 and so on.
 """
 
 from __future__ import annotations
@@ -240,6 +240,14 @@
             text = what.removeprefix("reload").strip() or json.dumps(program.config)
             (program.folder / "config.json").write_text(text)
             process.send_signal(signal.SIGHUP)
+        elif what == "closed":
+            until = time.monotonic() + WAIT
+            try:
+                while time.monotonic() < until:
+                    socket.create_connection(self.program.address, WAIT).close()
+            except ConnectionRefusedError:
+                return
+            raise AssertionError("it still takes connections")
         elif what == "ended":
             assert self.program.process.wait(3.7) == 0, "it did not exit with 0"
             self.program.end()
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -10,9 +10,9 @@
 
 from juniperward.forwarder.journal import NAME, Journal, JournalFull
 from juniperward.forwarder.loop import Loop
-from juniperward.forwarder.messages import Began, Call, Handed, Heard, Worker
+from juniperward.forwarder.messages import Answered, Began, Call, End, Handed, Heard, Stop, Worker
 from juniperward.forwarder.reducer import Reducer
-from nickelscale.interface import Phase
+from nickelscale.interface import Outcome, Phase
 from tests.helpers import KEYED, settings
 
 
@@ -60,6 +60,25 @@
         self.assertEqual(self.asked(), ["server.answer"])
         self.assertEqual(self.journal.restored(), ())
 
+    def test_what_has_come_when_the_process_ends_is_taken_in_and_nothing_more_is_begun(self) -> None:
+        # Guards the last round: an accepted notice or a delivery that was read and not journalled came a second time.
+        self.hand_in()
+        self.parts.reset_mock()
+        (number,) = self.loop.reducer.state.outs
+        self.loop.post(Answered(number, (End(1, Outcome.OK),)))
+        self.loop.post(Stop(0.0, 0.0))
+        self.loop.post(Handed(6, Call("b", 0, 0, 1, 20.0, "k", b"x"), 1e12))
+        self.loop.run(lambda: True)
+        self.assertEqual(self.asked(), ["workers.end", "server.answer"])
+        self.parts.server.answer.assert_called_once_with(6, 503, mock.ANY)
+        self.assertEqual(self.journal.live, {})
+
+    def test_it_stays_for_the_clients_that_are_here_until_it_must_end(self) -> None:
+        reducer = self.loop.reducer
+        reducer.reduce(0.0, [Stop(0.8, 3.3)])
+        asked = [(1.0, False), (1.0, True), (3.3, False)]
+        self.assertEqual([reducer.finished(*x) for x in asked], [False, True, True])
+
     def test_what_cannot_be_journalled_is_not_taken_on(self) -> None:
         for error in (JournalFull(), OSError(28, "No space left on device")):
             self.parts.reset_mock()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -16,7 +16,7 @@
 from juniperward.forwarder import workers as workers_module
 from juniperward.forwarder.codec import BadCall, decode_call
 from juniperward.forwarder.config import Names
-from juniperward.forwarder.messages import Answered, Call, Delegate, End, Parcel, Progress
+from juniperward.forwarder.messages import Answered, Call, Delegate, End, Event, Handed, Parcel, Progress
 from juniperward.forwarder.server import Client, Server
 from juniperward.forwarder.workers import Job, Kept, read_ends, read_wait
 from juniperward.net import sockets
@@ -171,6 +171,26 @@
         self.assertFalse(server.answer(2, 202))
 
 
+    def test_who_stands_in_the_kernels_line_at_the_close_is_answered(self) -> None:
+        # Guards the end of a stop: a connection that nobody had accepted yet was reset with its call unread.
+        def refuse(event: Event) -> None:
+            assert isinstance(event, Handed)
+            server.answer(event.client, 503)
+
+        server = Server(("127.0.0.1", 0), NAMES, 10, refuse)
+        server.stop()
+        with socket.create_connection(server.listener.getsockname(), 5.0) as late:
+            late.sendall(b"POST /api HTTP/1.1\r\nX-Correlation-Id: a\r\nX-Service-Class: c\r\nX-Time-Left: 1\r\n")
+            late.sendall(b"X-Addressing: dest=7\r\n\r\n")
+            self.assertFalse(server.alone())
+            server.close()
+            self.assertFalse(server.alone())  # the process stays for it
+            self.assertTrue(late.recv(100).startswith(b"HTTP/1.1 503 "))
+        for thread in threading.enumerate():
+            if thread.name == "client":
+                thread.join(5.0)
+        self.assertTrue(server.alone())
+
     def test_an_answer_is_written_whole_or_its_connection_is_ended(self) -> None:
         # Guards a client that waits for the rest of an answer: its message counted as withdrawn, and it sat there.
         server = Server(("127.0.0.1", 0), NAMES, 3, lambda event: None)
@@ -283,7 +303,8 @@
         self.assertEqual(read_call(Stream(sock.recv)).headers["x-correlation-id"], "m1")
         sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
         sock.close()
-        self.assertEqual(self.events.get(timeout=5.0), Answered(1, (End(0, Outcome.MOOT), End(1, Outcome.OK))))
+        ends = (End(0, Outcome.MOOT, begun=False), End(1, Outcome.OK))
+        self.assertEqual(self.events.get(timeout=5.0), Answered(1, ends))
 
     def test_what_ended_behind_a_late_dial_is_left_out_of_its_call(self) -> None:
         # Guards join+mass: a message of a batch was told its end, then its connection came up and carried it.
--- a/tests/test_second_deployment.py
+++ b/tests/test_second_deployment.py
@@ -37,6 +37,39 @@
                 effects = reducer.reduce(100.0, [Heard(41, True, (worker(),), known=True)])
                 self.assertEqual([e for e in effects if isinstance(e, WatchFrom)], [WatchFrom(41, 0)])
 
+    def test_watches_that_fall_silent_one_after_another_are_each_opened_anew_in_time(self) -> None:
+        # Guards the 6 s after silence: with no news between, each waited twice as long as the one before, up to 4 s.
+        for lived, most in ((True, 0.7), (False, 6.0)):
+            with self.subTest(lived=lived):
+                reducer, now, waits = Reducer(settings(ONCE, on_request=True), 1), 100.0, []
+                effects = reducer.reduce(now, [Heard(41, True, (worker(),), known=True)])
+                for _ in range(6):
+                    began, effects = now, reducer.reduce(now, [WatchLost(0, lived)])
+                    while not any(isinstance(e, WatchFrom) for e in effects):
+                        now = min(e.at for e in effects if isinstance(e, Wake))
+                        effects = reducer.reduce(now, [e.due for e in effects if isinstance(e, Wake) and e.at <= now])
+                    waits.append(now - began)
+                    now += 3.5
+                self.assertLess(max(waits), most)
+                self.assertEqual(max(waits) > 2.0, not lived)  # calls that fail are still spaced ever wider
+
+    def test_a_silent_watch_has_lived_and_a_refused_call_has_not(self) -> None:
+        for answer, lived in (
+            (b"200 OK\r\nTransfer-Encoding: chunked", True), (b"503 X\r\nContent-Length: 0", False)
+        ):  # fmt: skip
+            door = socket.create_server(("127.0.0.1", 0))
+            self.addCleanup(door.close)
+            events: queue.Queue[Event] = queue.Queue()
+            with self.subTest(lived), mock.patch.object(registry_module, "SILENT", 0.1):
+                registry = Registry(door.getsockname(), Names((), (), (), (), ()), events.put)
+                registry.start()
+                registry.watch(41, 0)
+                sock, _ = door.accept()
+                self.addCleanup(sock.close)
+                sock.recv(1000)
+                sock.sendall(b"HTTP/1.1 " + answer + b"\r\n\r\n")
+                self.assertEqual(events.get(timeout=5.0), WatchLost(0, lived))
+
     def test_news_of_a_watch_does_not_ask_for_a_second_one(self) -> None:
         reducer = Reducer(settings(ONCE), 1)
         reducer.reduce(100.0, [Heard(41, True, (worker(),), known=True)])
@@ -107,7 +140,7 @@
             self.addCleanup(sock.close)
             sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")
             lost = events.get(timeout=5.0)
-            self.assertEqual(lost, WatchLost(0))
+            self.assertEqual(lost, WatchLost(0, lived=True))
         now = 100.0
         effects = reducer.reduce(now, [Heard(41, True, (worker(),), known=True)])
         effects = reducer.reduce(now, [lost])
