Wait for an answer as long as the longest class may, and name a class that makes no sense

It is the longest deadline now where that is more. An error in one of Services names its place ("Services[1]: deadline: must be above 0"); before, "could not convert string to float: 'x'" was all.

--- a/juniperward/forwarder/config.py
+++ b/juniperward/forwarder/config.py
@@ -131,6 +131,7 @@
 
 def _from_json(given: Any, environment: Mapping[str, str]) -> Config:
     raw = given["settings"]
+    settings = settings_from(raw)
     names = Names(
         classes=tuple(c["Name"] for c in raw["Services"]),
         deadlines=tuple(float(c["DeadlineMs"]) / 1000 for c in raw["Services"]),
@@ -150,7 +151,7 @@
         seed=int(str(given["seed"]), 16),
         sockets=int(limits.get("sockets", 1024)),
         disk_bytes=int(float(limits.get("disk_mb", 1)) * 1_000_000),
-        settings=settings_from(raw),
+        settings=settings,
         names=names,
         known=read_news(given["known"], names),
         control=_control(given.get("control")),
--- a/juniperward/forwarder/start.py
+++ b/juniperward/forwarder/start.py
@@ -55,6 +55,7 @@
         most_idle=max(config.sockets // 8, 8),
         post=loop.post,
         note=loop.note,
+        longest=max(c.deadline for c in config.settings.classes),
     )
     loop.registry = Registry(config.registry, config.names, loop.post)
     return loop
--- a/juniperward/forwarder/workers.py
+++ b/juniperward/forwarder/workers.py
@@ -33,7 +33,7 @@
 from nickelscale.interface import Outcome
 
 KEEP_PART = 0.9  # part of the workers' keepalive after which an idle connection is not used any more
-LONGEST = 60.0  # seconds after which a read ends whatever the reducer forgot
+LONGEST = 60.0  # seconds after which a read ends whatever the reducer forgot; a class with more time has more
 ANSWER = 0.5  # seconds that an answer may take from its first byte to its last
 REST = 0.01  # seconds after an answer before its connection is used again: what is behind it shows by then
 MOST_WAIT = 3600.0  # seconds; what tells a longer wait than this tells none
@@ -62,8 +62,8 @@
 class Kept:
     """A connection to a worker."""
 
-    def __init__(self, sock: socket.socket, address: tuple[str, int]) -> None:
-        self.sock, self.address = sock, address
+    def __init__(self, sock: socket.socket, address: tuple[str, int], longest: float = LONGEST) -> None:
+        self.sock, self.address, self.longest = sock, address, longest
         self.stream = Stream(self._receive)
         self.used = time.monotonic()
         self.until: float | None = None  # when the answer that has begun must be whole
@@ -81,7 +81,7 @@
             sockets.limit(self.sock, socket.SO_RCVTIMEO, left)
             self.limited = True
         elif self.limited:
-            sockets.limit(self.sock, socket.SO_RCVTIMEO, LONGEST)
+            sockets.limit(self.sock, socket.SO_RCVTIMEO, self.longest)
             self.limited = False
         return self.sock.recv(size)
 
@@ -92,7 +92,9 @@
     def __init__(
         self, dial_timeout: float, keepalive: float, most_threads: int, most_idle: int,
         post: Callable[[Event], None], note: Callable[[Record], None] = lambda record: None,
+        longest: float = LONGEST,
     ) -> None:  # fmt: skip
+        self.longest = max(longest, LONGEST)
         self.dial_timeout, self.keep = dial_timeout, keepalive * KEEP_PART
         self.most_threads, self.most_idle, self.post, self.note = most_threads, most_idle, post, note
         self.ended = False  # nothing is begun any more
@@ -254,7 +256,7 @@
             sockets.limit(kept.sock, socket.SO_RCVTIMEO, left)
             kept.sock.sendall(encode_call("GET", "/health/live", f"{what.host}:{what.port}", {}, None))
             answer = read_response(kept.stream, kept.begun)
-            sockets.limit(kept.sock, socket.SO_RCVTIMEO, LONGEST)
+            sockets.limit(kept.sock, socket.SO_RCVTIMEO, self.longest)
         except (Broken, Malformed, OSError) as error:
             kept.sock.close()
             if time.monotonic() >= what.deadline:  # the stream tells a read that took too long as broken
@@ -336,14 +338,14 @@
             if job.abandoned or left <= 0:
                 raise TimeoutError
             sockets.connect(*address, left, sock)
-            sockets.limit(sock, socket.SO_RCVTIMEO, LONGEST)
+            sockets.limit(sock, socket.SO_RCVTIMEO, self.longest)
         except OSError as error:
             sock.close()
             count("dials_failed")
             log("dial", f"worker {address[0]}:{address[1]}: {error or 'too late'}")
             return None
         count("connections_opened")
-        return Kept(sock, address)
+        return Kept(sock, address, self.longest)
 
     def _begin(self, job: Job) -> tuple[Parcel, ...] | None:
         """Begin to write, unless that is barred by now (None); the messages that may still be written.
--- a/nickelscale/benchlink.py
+++ b/nickelscale/benchlink.py
@@ -32,20 +32,7 @@
         i.Kind(batch=batches[k] if k < len(batches) else 1, routes_apart=bool(k < len(apart) and apart[k]))
         for k in range(count)
     )
-    classes = tuple(
-        i.MessageClass(
-            aim=c["AimMs"] * MS,
-            deadline=c["DeadlineMs"] * MS,
-            effect=_enum(i.Effect, "Effect", c.get("Effect", "repeatable")),
-            worth=c.get("Worth", 1.0),
-            late_worth=c.get("LateWorth", 0.0),
-            dedup_scope=_enum(i.DedupScope, "DedupScope", c.get("DedupScope", "all")),
-            window=c.get("WindowMs", 0.0) * MS,
-            in_order=bool(c.get("InOrder", False)),
-            aim_stretch=c.get("AimStretch") or 0.0,
-        )
-        for c in config.get("Services", [])
-    )
+    classes = tuple(_class(n, c) for n, c in enumerate(config.get("Services", [])))
     return i.Settings(
         classes=classes,
         slots=specifics.get("MaxCalls", 1),
@@ -78,6 +65,26 @@
     )
 
 
+def _class(number: int, c: dict[str, Any]) -> i.MessageClass:
+    """One of `Services`; what is wrong with it is told with its place."""
+    try:
+        return i.MessageClass(
+            aim=c["AimMs"] * MS,
+            deadline=c["DeadlineMs"] * MS,
+            effect=_enum(i.Effect, "Effect", c.get("Effect", "repeatable")),
+            worth=c.get("Worth", 1.0),
+            late_worth=c.get("LateWorth", 0.0),
+            dedup_scope=_enum(i.DedupScope, "DedupScope", c.get("DedupScope", "all")),
+            window=c.get("WindowMs", 0.0) * MS,
+            in_order=bool(c.get("InOrder", False)),
+            aim_stretch=c.get("AimStretch") or 0.0,
+        )
+    except KeyError as error:
+        raise ValueError(f"Services[{number}]: {error.args[0]!r} is missing") from error
+    except (ValueError, TypeError) as error:
+        raise ValueError(f"Services[{number}]: {error}") from error
+
+
 def _enum(kind: Any, field: str, value: object) -> Any:
     try:
         return kind(value)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -77,6 +77,34 @@
         with self.assertRaisesRegex(ConfigError, "ROUTER_CONFIG"):
             load({})
 
+    def test_a_class_or_a_limit_that_makes_no_sense_ends_the_start_with_its_place(self) -> None:
+        for key, value, word in (
+            ("DeadlineMs", 0, r"Services\[1\]: deadline"), ("DeadlineMs", "x", r"Services\[1\]"),
+            ("Effect", "maybe", r"Services\[1\]: Effect"), ("DeadlineMs", None, r"Services\[1\]"),
+            ("WindowMs", -1.0, r"Services\[1\]: window"),
+        ):  # fmt: skip
+            services = [SETTINGS["Services"][0], {**SETTINGS["Services"][1], key: value}]
+            with self.subTest(key), self.assertRaisesRegex(ConfigError, word):
+                load(self.given({**GOOD, "settings": {**SETTINGS, "Services": services}}))
+        limits = {**SETTINGS["Limits"], "MaxAttempts": 0}
+        with self.assertRaisesRegex(ConfigError, "max_attempts"):
+            load(self.given({**GOOD, "settings": {**SETTINGS, "Limits": limits}}))
+
+    def test_settings_of_other_deployments_are_read(self) -> None:
+        # Small copies of what deploy/sites/ stands for: short and few, and many, long and pushed.
+        short = {"Name": "lift", "AimMs": 200.0, "DeadlineMs": 300.0, "Effect": "once", "Worth": 9.0}
+        few = {**SETTINGS, "Services": [short], "Limits": {**SETTINGS["Limits"], "MaxAttempts": 1, "MaxOpen": 1}}
+        long = [
+            {"Name": f"c{n}", "AimMs": 6e4, "DeadlineMs": 6e5, "Effect": e, "WindowMs": 3e5, "DedupScope": "zone"}
+            for n, e in enumerate(("once", "by_key", "repeatable") * 4)
+        ]
+        many = {**SETTINGS, "Services": long, "MembershipMode": "pushed", "Tenants": None,
+                "Specifics": {"MaxCalls": 40, "BatchByKind": [500, 1, 50]}}  # fmt: skip
+        for given, classes, longest in ((few, 1, 0.3), (many, 12, 600.0)):
+            config = load(self.given({**GOOD, "settings": given}))
+            self.assertEqual(len(config.settings.classes), classes)
+            self.assertAlmostEqual(max(config.names.deadlines), longest)
+
     def test_one_odd_entry_does_not_cost_the_list(self) -> None:
         # Guards against news that fail for good: the same entry comes again with every watch.
         entry = {"id": "s-1", "addr": "127.0.0.1:81", "cell": 7, "state": "Ready", "kind": "small-partners"}
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -4,6 +4,7 @@
 
 import json
 import socket
+import struct
 import threading
 import time
 import unittest
@@ -18,7 +19,7 @@
 from juniperward.forwarder.config import Names
 from juniperward.forwarder.messages import Answered, Call, Delegate, End, Event, Handed, Parcel, Progress
 from juniperward.forwarder.server import Client, Server
-from juniperward.forwarder.workers import Job, Kept, read_ends, read_wait
+from juniperward.forwarder.workers import Job, Kept, Workers, read_ends, read_wait
 from juniperward.net import sockets
 from juniperward.net.http import Broken, HttpCall, Malformed, Response, Stream, read_call, read_response
 from nickelscale.interface import Outcome
@@ -358,6 +359,19 @@
                 told = Outcome.OK if count == 1 and cut >= first else Outcome.RESET
                 self.assertEqual({e.outcome for e in ends}, {told}, text[:cut])
 
+    def test_an_answer_is_waited_for_as_long_as_the_longest_class_may_wait(self) -> None:
+        # Guards deadlines of over a minute: a read ended after 60 s, as a reset of what might still be answered.
+        for deadline, most in ((20.0, 60.0), (600.0, 600.0)):
+            self.workers = Workers(1.0, 10.0, 4, 4, self.events.put, longest=deadline)
+            self.workers.delegate(delegate(1, self.port))
+            sock, _ = self.door.accept()
+            self.addCleanup(sock.close)
+            sock.recv(1000)
+            ours = self.workers.active[1].sock
+            assert ours is not None
+            limit = struct.unpack("@ll", ours.getsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, 16))
+            self.assertEqual(limit[0], most)
+
     def test_a_refused_dial_never_ran(self) -> None:
         self.door.close()
         self.workers.delegate(delegate(1, self.port))
