--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -57,7 +57,9 @@
     return Call(name, cls, 0, destination, left, "k", b"body")
 
 
-class ReducerTest(unittest.TestCase):
+class ReducerRig(unittest.TestCase):
+    """A reducer without sockets, driven by events; its subclasses hold the tests."""
+
     def start(self, *workers: Worker, **changes: Any) -> Reducer:
         kinds = {"kinds": (Kind(), Kind(batch=20)), "slots": 8}
         self.reducer = Reducer(settings(KEYED, ONCE, **{**kinds, **changes}), 1)
@@ -74,15 +76,6 @@
         assert isinstance(asked, TakeOn)
         return self.do(TookOn(asked.message, told))
 
-    def test_an_end_comes_before_the_time_is_up_also_by_a_clock_that_stood_still(self) -> None:
-        # A process that has just begun saw its clock stand still for 0.3 s: ends it owed came that much late.
-        self.start()
-        for name, left in (("a", 12.0), ("b", 0.5)):
-            with self.subTest(left=left):
-                (asked,) = self.do(Handed(5, call(name, left=left), self.now))
-                assert isinstance(asked, TakeOn)
-                self.assertAlmostEqual(asked.record.expires - self.now, left - min(0.3, 0.2 * left))
-
     def only(self, effects: list[Effect], kind: type) -> list[Any]:
         return [e for e in effects if isinstance(e, kind)]
 
@@ -101,6 +94,17 @@
         self.assertEqual(self.do(TimeUp(d.number, message)), [Strike(d.number, message)])
         return self.do(Struck(d.number, message, progress))
 
+
+class ReducerTest(ReducerRig):
+    def test_an_end_comes_before_the_time_is_up_also_by_a_clock_that_stood_still(self) -> None:
+        # A process that has just begun saw its clock stand still for 0.3 s: ends it owed came that much late.
+        self.start()
+        for name, left in (("a", 12.0), ("b", 0.5)):
+            with self.subTest(left=left):
+                (asked,) = self.do(Handed(5, call(name, left=left), self.now))
+                assert isinstance(asked, TakeOn)
+                self.assertAlmostEqual(asked.record.expires - self.now, left - min(0.3, 0.2 * left))
+
     def test_a_delegation_names_its_worker_for_the_journal_which_hears_of_it_at_its_first_byte(self) -> None:
         # Guards against a try used up by a call that was never written; tests/test_restarts.py has the first byte.
         self.start()
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -34,7 +34,7 @@
 from nickelscale.interface import MessageClass, Outcome
 from tests.helpers import SAFE, settings
 from tests.rigs import WorkerRig
-from tests.test_reducer import ReducerTest, call, worker
+from tests.test_reducer import ReducerRig, call, worker
 
 
 class FirstByteTest(WorkerRig):
@@ -133,8 +133,8 @@
         self.assertEqual(counters().get("journal_damaged", 0), before)
 
 
-class UntriedTest(ReducerTest):
-    """The reducer and the module after a restart; inherits only the helpers."""
+class UntriedTest(ReducerRig):
+    """The reducer and the module after a restart."""
 
     def begin(self, *restored: Restored, first: MessageClass = SAFE, **more: Any) -> list[Effect]:
         self.reducer = Reducer(settings(first, SAFE, **more), 1)
@@ -195,8 +195,3 @@
         seen = self.run_to(105.2, self.only(seen, Wake), self.do)
         self.assertEqual(len(self.only(seen, Notify)), 1)
         self.assertEqual(counters()["restored_given_up_untried"], before + 1)
-
-
-for _name in [n for n in dir(ReducerTest) if n.startswith("test_")]:
-    setattr(UntriedTest, _name, None)  # they run where they stand
-del ReducerTest
