Keep a repeat out of a zone that nobody knows to be its own after a restart

By reading (_resume): where the endpoint that had a message's call is in no list that the restart has, the message's zone was taken as 0, the number of the first zone.

Change: any endpoint of its history that is still listed tells the zone; with none, it is no zone, and the message is held to its window's end and failed. Test: test_six_rules, red without it.

--- a/tests/test_six_rules.py
+++ b/tests/test_six_rules.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from nickelscale.interface import DedupScope, Effect, Endpoint, Kind, MessageClass, Outcome, Send
+from nickelscale.interface import DedupScope, Effect, Endpoint, Kind, MessageClass, Outcome, Send, Tried
 from tests.helpers import KEYED, ONCE, ORDERED, SAFE, Node, failed, gone, refused, sends, settings
 
 
@@ -91,6 +91,16 @@
     assert refused(seen) == []
 
 
+def test_2_after_a_restart_a_zone_that_is_not_known_any_more_is_no_zone() -> None:
+    # Guards a restart whose list lacks the endpoint that had the call: the repeat went to the zone with number 0.
+    cls = MessageClass(aim=4.0, deadline=20.0, effect=Effect.BY_KEY, window=5.0, dedup_scope=DedupScope.ZONE)
+    node = Node(settings(cls), (Endpoint(10, 1, zone=0), Endpoint(11, 1, zone=1)))
+    node.arrive(history=(Tried(0, 99.0),))
+    assert (sends(node.run(8.0)), len(failed([a for _, a in node.log]))) == ([], 1)
+    node.arrive(history=(Tried(0, node.now - 2.0), Tried(11, node.now - 1.0)))  # one that is listed tells its zone
+    assert node.endpoint[2, 0] == 11
+
+
 def test_3_nothing_goes_to_a_draining_endpoint() -> None:
     node = Node(endpoints=(Endpoint(10, 1), Endpoint(11, 1)))
     node.listed(gone(10, 1))
