Take bytes that never end what they began for silence, on the watch and for notices

By reading: each read of the watch and of the answer to a notice had its whole time anew, so that a byte now and then kept them for ever (of the watch: up to 4 MiB). A list that stalls within a line, or a head that does, was no silence, and what it missed counts as told 6 s later; an answer to a notice that never ends held all ends up behind it.

Change: sockets.Timed, reads that share a time. The watch's is 3.5 s from the latest thing that was whole, or from where an object begins; the notices' 0.3 s from writing. Tests over sockets: a head, a chunk and an object that never end, an answer that never ends (4 red without the change), and that signs of life and lists in pieces keep a watch.

--- a/juniperward/forwarder/news.py
+++ b/juniperward/forwarder/news.py
@@ -19,6 +19,11 @@
         self.depth = self.size = 0
         self.rest = b""  # of a line that is not whole
 
+    @property
+    def begun(self) -> bool:
+        """Whether an object has begun that is not whole."""
+        return bool(self.lines or self.rest)
+
     def feed(self, data: bytes) -> list[Any]:
         """The objects that these bytes complete; raises ValueError where what came is none."""
         *lines, self.rest = (self.rest + data).split(b"\n")
--- a/juniperward/forwarder/registry.py
+++ b/juniperward/forwarder/registry.py
@@ -18,7 +18,8 @@
 from juniperward.net import sockets
 from juniperward.net.http import Broken, Malformed, Stream, chunks, encode_call, read_head, read_response
 
-SILENT = 3.5  # seconds without a line after which a watch is dead; one comes every 2
+# Seconds after which a watch is dead on which nothing has come, or nothing whole: a line comes every 2.
+SILENT = 3.5
 DIAL = 1.0
 # Seconds for a connection for notices, and for their answer, which comes straight away. Beyond that they go again by
 # another connection: twice this fits between a message's last moment and 0.3 s after its time.
@@ -26,7 +27,7 @@
 NOTICE_AGAIN = (0.05, 0.4)  # seconds before notices are handed over again: first, most
 NOTICES_AT_ONCE = 200
 
-Link = tuple[socket.socket, Stream, str]
+Link = tuple[sockets.Timed, Stream, str]
 
 
 class Registry:
@@ -95,10 +96,10 @@
             sockets.connect(*address, DIAL, sock)
             if epoch != self.epoch:
                 raise Broken("the registry has moved")
-            sockets.limit(sock, socket.SO_RCVTIMEO, SILENT)
+            alive = sockets.Timed(sock, SILENT)
             target = f"/registry/instances?follow=1&since={version}"
             sock.sendall(encode_call("GET", target, f"{address[0]}:{address[1]}", {}, None))
-            stream = Stream(sock.recv)
+            stream = Stream(alive.receive)
             status, headers, _ = read_head(stream)
             if status != 200 or "chunked" not in headers.get("transfer-encoding", "").lower():
                 raise Broken(f"it was answered {status}")
@@ -106,7 +107,10 @@
             self.begun = time.monotonic()
             objects = Objects()
             for chunk in chunks(stream):
-                for value in objects.feed(chunk):
+                between, found = not objects.begun, objects.feed(chunk)
+                if between or found:
+                    alive.begin()
+                for value in found:
                     news = read_news(value, self.names)
                     self.post(Heard(news.version, news.full, news.workers, epoch=epoch))
             raise Broken("it came to its end")
@@ -133,7 +137,7 @@
                     trouble("notices", error)
                 count("notices_again")
                 if connection is not None:
-                    connection[0].close()
+                    connection[0].sock.close()
                     connection = None
                 time.sleep(again)
                 again = min(2 * again, NOTICE_AGAIN[1])
@@ -142,21 +146,23 @@
         self, connection: Link | None, batch: list[Notice]
     ) -> tuple[Link | None, list[Notice]]:
         """Post notices; the connection to go on with, and the notices that are left."""
-        if connection is None or not sockets.quiet(connection[0]):
+        if connection is None or not sockets.quiet(connection[0].sock):
             if connection is not None:
-                connection[0].close()
+                connection[0].sock.close()
             sock, address = self._socket("notices")
-            connection = (sock, Stream(sock.recv), f"{address[0]}:{address[1]}")
+            timed = sockets.Timed(sock, NOTICE_WAIT)
+            connection = (timed, Stream(timed.receive), f"{address[0]}:{address[1]}")
             try:
                 sockets.connect(*address, NOTICE_WAIT, sock)
-                sockets.limit(sock, socket.SO_RCVTIMEO, NOTICE_WAIT)
                 if address != self.address:
                     raise Broken("the registry has moved")
             except (OSError, Broken):
                 sock.close()
                 raise
-        sock, stream, host = connection
+        timed, stream, host = connection
+        sock = timed.sock
         try:
+            timed.begin()
             body = b"".join(_line(n) for n in batch)
             sock.sendall(encode_call("POST", "/status", host, {}, body))
             answer = read_response(stream)
--- a/juniperward/net/sockets.py
+++ b/juniperward/net/sockets.py
@@ -5,6 +5,7 @@
 import contextlib
 import socket
 import struct
+import time
 
 
 def limit(sock: socket.socket, option: int, seconds: float) -> None:
@@ -44,6 +45,26 @@
     return False
 
 
+class Timed:
+    """Reads of a socket that have to come in a time that they share: bytes now and then do not extend it."""
+
+    def __init__(self, sock: socket.socket, seconds: float) -> None:
+        self.sock, self.seconds = sock, seconds
+        self.begin()
+
+    def begin(self) -> None:
+        """The time counts from now."""
+        self.until = time.monotonic() + self.seconds
+
+    def receive(self, size: int) -> bytes:
+        """Read some bytes; raises TimeoutError or BlockingIOError once the time is up."""
+        left = self.until - time.monotonic()
+        if left <= 0:
+            raise TimeoutError("not whole in its time")
+        limit(self.sock, socket.SO_RCVTIMEO, left)
+        return self.sock.recv(size)
+
+
 def shut(sock: socket.socket, how: int = socket.SHUT_RDWR) -> None:
     """End a connection now; a thread that waits on it wakes up."""
     with contextlib.suppress(OSError):
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import queue
 import socket
@@ -56,6 +57,27 @@
 
 
 class NoticesTest(unittest.TestCase):
+    def test_an_answer_that_comes_byte_by_byte_does_not_hold_an_end_up(self) -> None:
+        # Guards rule 1: each byte of an answer that never ends had its 0.3 s anew, and no notice went out meanwhile.
+        platform = Platform()
+        platform.answers = [b"HTTP/1.1 2"]
+        self.addCleanup(platform.close)
+        over = threading.Event()
+        self.addCleanup(over.set)
+        events: queue.Queue[Event] = queue.Queue()
+        registry = Registry(platform.door.getsockname(), Names((), (), (), (), ()), events.put)
+        registry.start()
+        registry.notify((Notice("m0"),))
+
+        def drip() -> None:
+            with contextlib.suppress(OSError):
+                while not over.wait(0.02):
+                    for sock in platform.socks[:1]:
+                        sock.sendall(b"0")
+
+        threading.Thread(target=drip, daemon=True).start()
+        self.assertEqual(events.get(timeout=5.0), Noticed(("m0",)))
+
     def test_every_end_arrives_over_connections_that_fail(self) -> None:
         # Guards rule 1: reset after writing, never answered, half answered, refused; many ends at once.
         platform = Platform(None, b"", b"HTTP/1.1 20", b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n")
--- a/tests/test_second_deployment.py
+++ b/tests/test_second_deployment.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import queue
 import socket
@@ -70,6 +71,50 @@
                 sock.sendall(b"HTTP/1.1 " + answer + b"\r\n\r\n")
                 self.assertEqual(events.get(timeout=5.0), WatchLost(0, lived))
 
+    def test_bytes_that_never_end_what_they_began_are_silence_too(self) -> None:
+        # Guards the 6 s after silence: each byte was a sign of life, so a drain could go unheard for hours.
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        for begin, more in ((b"HTTP/1.1 2", b"0"), (head + b"200000\r\n", b" "), (head, b"1\r\n{\r\n")):
+            door = socket.create_server(("127.0.0.1", 0))
+            self.addCleanup(door.close)
+            events: queue.Queue[Event] = queue.Queue()
+            over = threading.Event()
+            self.addCleanup(over.set)
+            with self.subTest(begin), mock.patch.object(registry_module, "SILENT", 0.2):
+                registry = Registry(door.getsockname(), Names((), (), (), (), ()), events.put)
+                registry.start()
+                registry.watch(41, 0)
+                sock, _ = door.accept()
+                self.addCleanup(sock.close)
+                sock.sendall(begin)
+
+                def drip(sock: socket.socket = sock, more: bytes = more, over: threading.Event = over) -> None:
+                    with contextlib.suppress(OSError):
+                        while not over.wait(0.02):
+                            sock.sendall(more)
+
+                threading.Thread(target=drip, daemon=True).start()
+                self.assertIsInstance(events.get(timeout=5.0), WatchLost)
+
+    def test_signs_of_life_and_lists_in_pieces_keep_a_watch(self) -> None:
+        # Guards the other side: an object that comes in pieces, and empty lines, each have the whole time anew.
+        door = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(door.close)
+        events: queue.Queue[Event] = queue.Queue()
+        pause = threading.Event()
+        with mock.patch.object(registry_module, "SILENT", 0.5):
+            registry = Registry(door.getsockname(), Names((), (), (), (), ()), events.put)
+            registry.start()
+            registry.watch(41, 0)
+            sock, _ = door.accept()
+            self.addCleanup(sock.close)
+            sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            for piece in (b"\n", b"\n", b'{"version":42,', b'\n"full":false,"servers":[]}\n', b"\n", b"\n"):
+                pause.wait(0.3)
+                sock.sendall(b"%x\r\n%s\r\n" % (len(piece), piece))
+            self.assertEqual(events.get(timeout=5.0), Heard(42, False, ()))
+            self.assertTrue(events.empty())
+
     def test_news_of_a_watch_does_not_ask_for_a_second_one(self) -> None:
         reducer = Reducer(settings(ONCE), 1)
         reducer.reduce(100.0, [Heard(41, True, (worker(),), known=True)])
