Tell calls that never began, or were answered, from calls that are called off

Workers.abandon tells now how far the call had come, and `Left` reports it to the reducer; what waited has not run. - A call called off, or a message struck off it, after its thread had read the answer and before the loop had it: the delivery counted as called off, and a class that may be repeated went again.

Tests: test_reducer, test_net, test_restarts; each was red with its lines taken out. Changed: three tests of the reducer expected a call's end with the word to close it; it comes with the report of that (as strict: Abandon first, nothing sent, then the end). One of the net expected WRITTEN for a call that is over: OVER.

--- a/juniperward/forwarder/loop.py
+++ b/juniperward/forwarder/loop.py
@@ -26,6 +26,7 @@
     ForgetWorker,
     Hold,
     Keep,
+    Left,
     Look,
     MoveTo,
     Notify,
@@ -135,11 +136,11 @@
             case Reply(client=client, status=status, retry_after=wait):
                 self.server.answer(client, status, wait)
             case Append(record=record):
-                self.note(record)
+                self._note(record)
             case Delegate() | Look():
                 self.workers.delegate(effect)
             case Abandon(delegation=number):
-                self.workers.abandon(number)
+                self.follow.append(Left(number, self.workers.abandon(number)))
             case Strike(delegation=number, message=message):
                 self.follow.append(Struck(number, message, self.workers.strike(number, message)))
             case CloseIdle(worker=worker):
@@ -201,8 +202,7 @@
         self.server.answer(client, 503, BACK)
         return False
 
-    def note(self, record: Record) -> None:
-        """Write a record; the threads that begin calls do so too."""
+    def _note(self, record: Record) -> None:
         try:
             self.journal.append(record)
         except OSError as error:
--- a/juniperward/forwarder/messages.py
+++ b/juniperward/forwarder/messages.py
@@ -230,7 +230,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CalledOff:
-    """A delegation was abandoned on the module's word; its messages have their end now."""
+    """A delegation is to be abandoned now: the client's time of one of its messages is up."""
 
     delegation: int
 
@@ -256,7 +256,8 @@
 
     WAITS = "waits"  # nothing of it is written: its connection is not up, or it stands in line for a thread
     WRITES = "writes"
-    WRITTEN = "written"  # whole; also where it is over
+    WRITTEN = "written"
+    OVER = "over"  # its end is known, and on its way
 
 
 @dataclass(frozen=True, slots=True)
@@ -268,7 +269,15 @@
     progress: Progress
 
 
-Due = ModuleTimer | TimeUp | CalledOff
+@dataclass(frozen=True, slots=True)
+class Left:
+    """What became of an `Abandon`: `progress` is that of the call when its connection was closed."""
+
+    delegation: int
+    progress: Progress
+
+
+Due = ModuleTimer | TimeUp | CalledOff | Left
 Event = (
     Replayed | Handed | TookOn | Answered | Struck | Looked | Heard | WatchLost | Moved | Noticed | Due | Stop | Asked
 )
@@ -338,7 +347,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Abandon:
-    """Close the connection of a delegation; nothing is reported for it any more."""
+    """Close the connection of a delegation; `Left` reports back in the same round, and nothing after it."""
 
     delegation: int
 
--- a/juniperward/forwarder/reducer.py
+++ b/juniperward/forwarder/reducer.py
@@ -34,6 +34,7 @@
     Heard,
     Hold,
     Keep,
+    Left,
     Look,
     Looked,
     ModuleTimer,
@@ -144,7 +145,9 @@
             case Struck():
                 self._struck(now, event)
             case CalledOff(delegation=number):
-                self._called_off(now, number)
+                self._call_off(number)
+            case Left():
+                self._left(now, event)
             case Looked():
                 self._looked(now, event)
             case Heard():
@@ -347,25 +350,36 @@
 
     def _struck(self, now: float, e: Struck) -> None:
         out = self.state.outs.get(e.delegation)
-        if out is None or e.message not in out.waiting:
-            return
+        if out is None or e.message not in out.waiting or e.progress is Progress.OVER:
+            return  # what was answered before its time was up counts as answered
         never = e.progress is Progress.WAITS
         held = self.state.held.get(e.message)
         due = held.due if held is not None else now
         self._settle(now, out, End(e.message, i.Outcome.MOOT if never else i.Outcome.TIMEOUT, begun=not never))
-        if e.progress is Progress.WRITES or not out.waiting:
+        if not out.waiting:
+            del self.state.outs[e.delegation]
+            self.effects.append(Abandon(e.delegation))
+        elif e.progress is Progress.WRITES:
             # Half a call cannot lose one of its messages: what is not written whole yet is called off whole.
-            self._called_off(now, e.delegation)
+            self._call_off(e.delegation)
         elif not never:
             # A call has one fate: past the time of one of its messages an answer was seen to count for none of them.
             self.effects.append(Wake(due, CalledOff(e.delegation)))
 
-    def _called_off(self, now: float, delegation: int) -> None:
-        out = self.state.outs.pop(delegation, None)
-        if out is not None:
+    def _call_off(self, delegation: int) -> None:
+        """Close its connection first; how far it had come says what that means for its messages."""
+        out = self.state.outs.get(delegation)
+        if out is not None and not out.called_off:
+            out.called_off = True
             self.effects.append(Abandon(delegation))
-            for message in list(out.waiting):
-                self._settle(now, out, End(message, i.Outcome.CANCELLED))
+
+    def _left(self, now: float, e: Left) -> None:
+        """A call that was not begun has not run, and one whose end is on its way ends so."""
+        if e.progress is Progress.OVER or (out := self.state.outs.pop(e.delegation, None)) is None:
+            return
+        never = e.progress is Progress.WAITS
+        for message in list(out.waiting):
+            self._settle(now, out, End(message, i.Outcome.MOOT if never else i.Outcome.CANCELLED, begun=not never))
 
     def _forget(self, held: Held, now: float) -> None:
         s = self.state
@@ -424,7 +438,7 @@
                 case i.Fail(message=number):
                     self._final(now, number, None)
                 case i.Cancel(message=number):
-                    self._cancel(now, number)
+                    self._cancel(number)
                 case i.SetTimer(delay=delay, token=token):
                     self.effects.append(Wake(now + delay, ModuleTimer(token)))
                 case i.Close(endpoint=worker):
@@ -450,13 +464,11 @@
         else:
             holds(False, "one_final_answer")
 
-    def _cancel(self, now: float, number: int) -> None:
+    def _cancel(self, number: int) -> None:
         """One connection, one fate: the others of the same call are called off with it."""
         held = self.state.held.get(number)
-        out = self.state.outs.get(held.out) if held is not None and held.out is not None else None
-        if out is not None and not out.called_off:
-            out.called_off = True
-            self.effects += [Abandon(out.number), Wake(now, CalledOff(out.number))]
+        if held is not None and held.out is not None:
+            self._call_off(held.out)
 
     def _look(self, now: float, worker: int) -> None:
         """Probe a worker; one that is not listed any more is answered at once as not probed."""
@@ -496,7 +508,7 @@
                 if __debug__:
                     raise
                 trouble("delegation", error)
-                self.effects.append(Wake(now, CalledOff(out.number)))
+                self.effects.append(Wake(now, Left(out.number, Progress.WAITS)))
 
     def _start(self, now: float, out: Out, w: Worker, asked: list[i.Send]) -> None:
         """Make a call; its thread journals the attempts right before their first byte."""
--- a/juniperward/forwarder/server.py
+++ b/juniperward/forwarder/server.py
@@ -34,6 +34,7 @@
 LINGER_BYTES = 262144  # nor further than this: some send 60 MB
 BACK = 1.0  # seconds after which a client that was turned away here may come again
 BACKLOG = 512
+ADMITTED = 0.5  # seconds in which the listener's thread lets in whom it has accepted
 GO_ON = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -76,6 +77,7 @@
         self.last = 0
         self.ready = self.stopping = self.closed = False
         self.leave = False  # answers end their connections: clients are to go elsewhere
+        self.accepting = threading.Thread(target=self._accept, name="listener", daemon=True)
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind(listen)
@@ -84,7 +86,7 @@
     def start(self) -> None:
         """Begin to accept; the ready page says yes from here on."""
         self.ready = True
-        threading.Thread(target=self._accept, name="listener", daemon=True).start()
+        self.accepting.start()
 
     def doors(self, is_open: bool) -> None:
         """Have the ready page say yes or no; clients that come all the same are sent elsewhere."""
@@ -109,6 +111,8 @@
                 self._admit(self.listener.accept()[0])
         sockets.shut(self.listener)
         self.listener.close()
+        if self.accepting.is_alive():
+            self.accepting.join(ADMITTED)  # whom it has accepted is not in `clients` yet, and would seem to be nobody
         self.closed = True
 
     def alone(self) -> bool:
--- a/juniperward/forwarder/start.py
+++ b/juniperward/forwarder/start.py
@@ -54,7 +54,7 @@
         most_threads=min(2 * slots + 8, max(config.sockets // 4, 8)),
         most_idle=max(config.sockets // 8, 8),
         post=loop.post,
-        note=loop.note,
+        note=journal.append,
         longest=max(c.deadline for c in config.settings.classes),
     )
     loop.registry = Registry(config.registry, config.names, loop.post)
--- a/juniperward/forwarder/trace.py
+++ b/juniperward/forwarder/trace.py
@@ -14,13 +14,13 @@
 
 from juniperward.forwarder.messages import (
     Answered,
-    CalledOff,
     CloseIdle,
     Delegate,
     Effect,
     Event,
     Handed,
     Heard,
+    Left,
     Noticed,
     Notify,
     Reply,
@@ -56,8 +56,8 @@
                     lines.append(f"up {e.delegation}")
                 case Struck():
                     lines.append(f"struck {e.delegation} {e.progress.value}")
-                case CalledOff():
-                    lines.append(f"off {e.delegation}")
+                case Left():
+                    lines.append(f"off {e.delegation} {e.progress.value}")
                 case TookOn(told=False):
                     lines.append(f"untold {e.message}")
                 case Noticed():
--- a/juniperward/forwarder/workers.py
+++ b/juniperward/forwarder/workers.py
@@ -127,16 +127,17 @@
                     self.free -= 1
         self.jobs.put(job)
 
-    def abandon(self, number: int) -> None:
-        """Close the connection of a call; nothing is reported for it any more."""
+    def abandon(self, number: int) -> Progress:
+        """Close the connection of a call, whose end is not reported any more; how far it had come."""
         with self.lock:
             job = self.active.pop(number, None)
             if job is None:
-                return
+                return Progress.OVER
             job.abandoned = True
-            sock = job.sock
+            sock, progress = job.sock, job.progress
         if sock is not None:
             sockets.shut(sock)
+        return progress
 
     def strike(self, number: int, message: int) -> Progress:
         """Leave a message out of a call, if nothing of the call is written yet; how far it has come.
@@ -146,7 +147,7 @@
         with self.lock:
             job = self.active.get(number)
             if job is None:
-                return Progress.WRITTEN
+                return Progress.OVER
             if job.progress is Progress.WAITS:
                 job.struck.add(message)
             return job.progress
@@ -360,12 +361,19 @@
                 return None
             if isinstance(what, Look):
                 return ()
-            parcels = tuple(p for p in what.parcels if p.message not in job.struck and now < p.until)
+            parcels = []
+            for p in what.parcels:
+                if p.message not in job.struck and now < p.until:
+                    try:
+                        self.note(Began(p.call.id, now, what.name))
+                    except OSError as error:  # written without its record it would come back as untried
+                        count("journal_failures")
+                        log("journal", f"cannot write: {error}; its message is not sent")
+                        break
+                    parcels.append(p)
             if parcels:
                 job.progress = Progress.WRITES
-            for p in parcels:
-                self.note(Began(p.call.id, now, what.name))
-            return parcels
+            return tuple(parcels)
 
     def _take_idle(self, worker: int, address: tuple[str, int]) -> Kept | None:
         """The connection used most recently that has rested and is still good; where none has, the eldest."""
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -50,7 +50,7 @@
         self.assertEqual(self.asked(), ["server.answer", "workers.delegate"])
         self.assertEqual([text.count(b"taken") for text in written], [1, 1])
         self.assertEqual([text.count(b"began") for text in written], [0, 0])  # only with its first byte
-        self.loop.note(Began("a", 1.0, "s-1"))
+        self.journal.append(Began("a", 1.0, "s-1"))
         self.assertEqual(self.path.read_bytes().count(b"began"), 1)
 
     def test_nothing_is_sent_for_a_client_that_was_not_told(self) -> None:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -172,6 +172,37 @@
         self.assertFalse(server.answer(2, 202))
 
 
+    def test_who_is_being_let_in_at_the_close_is_somebody(self) -> None:
+        # Guards the end of the process between accept and the table of clients: nobody seemed to be here, and the
+        # connection was reset with its call in it.
+        server = Server(("127.0.0.1", 0), NAMES, 10, lambda event: None)
+        accepted, go_on, admit = threading.Event(), threading.Event(), server._admit
+
+        def late(sock: socket.socket) -> None:
+            accepted.set()
+            go_on.wait(5.0)
+            admit(sock)
+
+        here: list[int] = []
+
+        def close() -> None:
+            server.close()
+            here.append(len(server.clients))
+
+        with mock.patch.object(server, "_admit", late):
+            server.start()
+            client = socket.create_connection(server.listener.getsockname())
+            self.addCleanup(client.close)
+            self.assertTrue(accepted.wait(5.0))
+            closing = threading.Thread(target=close)
+            closing.start()
+            while server.listener.fileno() >= 0:
+                time.sleep(0)
+            closing.join(0.1)
+            go_on.set()
+            closing.join(5.0)
+        self.assertEqual((here, server.alone()), ([1], False))
+
     def test_who_stands_in_the_kernels_line_at_the_close_is_answered(self) -> None:
         # Guards the end of a stop: a connection that nobody had accepted yet was reset with its call unread.
         def refuse(event: Event) -> None:
@@ -340,7 +371,43 @@
                 assert isinstance(event, Answered)
                 left = {e.message for e in event.ends if e.outcome is Outcome.MOOT}
                 self.assertEqual(left, set(struck))  # the reducer has settled them
-                self.assertIs(self.workers.strike(1, 1), Progress.WRITTEN)
+                self.assertIs(self.workers.strike(1, 1), Progress.OVER)
+
+    def test_a_call_that_is_called_off_says_how_far_it_had_come(self) -> None:
+        # Guards what a call called off means for its messages: nothing is written after the word that nothing was.
+        begun, up, dial = threading.Event(), threading.Event(), sockets.connect
+
+        def late(*args: Any) -> None:
+            begun.set()
+            up.wait(5.0)
+            dial(*args)
+
+        with mock.patch("juniperward.net.sockets.connect", late):
+            self.workers.delegate(delegate(1, self.port))
+            self.assertTrue(begun.wait(5.0))
+            self.assertIs(self.workers.abandon(1), Progress.WAITS)
+            up.set()
+            sock, _ = self.door.accept()
+        self.addCleanup(sock.close)
+        while not self.workers.idle:  # it came up after all
+            time.sleep(0)
+        self.workers.delegate(delegate(2, self.port))
+        self.assertEqual(sock.recv(1000), b"")  # nothing was written on it, and it was not fit for the next one
+        sock, _ = self.door.accept()
+        self.addCleanup(sock.close)
+        self.assertIn(b"m0", sock.recv(1000))
+        while self.workers.active[2].progress is not Progress.WRITTEN:
+            time.sleep(0)
+        self.assertIs(self.workers.abandon(2), Progress.WRITTEN)
+        self.assertEqual(sock.recv(1), b"")
+        self.workers.delegate(delegate(3, self.port))
+        sock, _ = self.door.accept()
+        self.addCleanup(sock.close)
+        sock.recv(1000)
+        sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        event = self.events.get(timeout=5.0)
+        self.assertEqual(event, Answered(3, (End(0, Outcome.OK),)))  # and nothing of the two before it
+        self.assertIs(self.workers.abandon(3), Progress.OVER)
 
     def test_an_answer_cut_at_any_byte_leaves_no_message_without_its_end(self) -> None:
         body = b'[{"id":"m0","state":"ok"},{"id":"m1","state":"later"}]'
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -23,6 +23,7 @@
     Handed,
     Heard,
     Hold,
+    Left,
     Moved,
     MoveTo,
     Notice,
@@ -235,6 +236,7 @@
                 self.assertEqual([n.id for t in self.only(effects, Notify) for n in t.notices], ["a"])
                 # A call that is being written cannot lose one: it is called off, the other may go again.
                 self.assertEqual(self.only(effects, Abandon), [Abandon(d.number)] if gone else [])
+                effects = self.do(Left(d.number, progress)) if gone else effects
                 self.assertEqual(Append(Ended("b", True)) in effects, gone)
 
     def test_a_call_of_several_ends_with_the_time_of_the_first_of_its_messages(self) -> None:
@@ -256,6 +258,7 @@
                 effects = self.do(wake.due)
                 gone = [] if answered else [Abandon(d.number)]
                 self.assertEqual([e for e in effects if isinstance(e, Abandon)], gone)
+                effects = self.do(Left(d.number, Progress.WRITTEN))
                 self.assertEqual(Append(Ended("b", True)) in effects, not answered)
 
     def test_a_notice_is_owed_until_it_is_accepted(self) -> None:
@@ -267,24 +270,55 @@
         self.assertEqual(self.do(Noticed(("a",))), [Append(Over("a"))])
         self.assertEqual(self.do(Noticed(("a",))), [])
 
-    def test_calling_off_closes_first_and_reports_then(self) -> None:
-        # Guards against a second copy: the connection must have ended before the message may go again.
+    def call_off(self, cls: int = 0) -> tuple[list[Effect], list[Effect]]:
+        """Two calls that fill the slots, and a message behind them; what is asked for when one is called off."""
         self.start(slots=2)
         self.do(Heard(42, False, (worker("s-2", 2), worker("s-3", 3))))
-        for destination, name in enumerate("abc", 1):
-            effects = self.take(name, destination=destination)
-        while not (gone := self.only(effects, Abandon)):
+        first = self.take("a", cls=cls)
+        self.take("b", destination=2, cls=cls)
+        effects = self.take("c", destination=3)
+        while not self.only(effects, Abandon):
             self.assertLess(self.now, 115.0, "nothing was called off")
             self.now += 0.25
             effects = self.do(Heard(43, False, ()))
+        return first, effects
+
+    def test_calling_off_closes_first_and_reports_then(self) -> None:
+        # Guards against a second copy: the connection must have ended before the message may go again.
+        _, effects = self.call_off()
+        (gone,) = self.only(effects, Abandon)
         self.assertEqual(self.sent(effects), [])
-        (wake,) = [w for w in self.only(effects, Wake) if isinstance(w.due, CalledOff)]
-        self.assertEqual(wake.due, CalledOff(gone[0].delegation))
-        self.assertEqual(wake.at, self.now)
-        effects = self.do(wake.due)
+        effects = self.do(Left(gone.delegation, Progress.WRITTEN))
         self.assertEqual(self.only(effects, Append)[0].record, Ended("a", True))
         self.assertEqual(self.sent(effects), [["c"]])
 
+    def test_a_call_that_is_called_off_before_its_first_byte_has_not_run(self) -> None:
+        # Guards a class that may not be repeated: its message, behind a dial, was failed as one that may have run.
+        for progress, told in ((Progress.WAITS, []), (Progress.WRITTEN, [Notice("a")])):
+            with self.subTest(progress):
+                _, effects = self.call_off(cls=1)
+                (gone,) = self.only(effects, Abandon)
+                effects = self.do(Left(gone.delegation, progress))
+                self.assertEqual([n for t in self.only(effects, Notify) for n in t.notices], told)
+                ends = [e.record for e in self.only(effects, Append) if isinstance(e.record, Ended)]
+                self.assertEqual(ends, [Ended("a", True)] if told else [])  # the journal never heard that it began
+
+    def test_an_answer_that_was_read_before_its_call_was_called_off_counts(self) -> None:
+        # Guards a delivery that was read and not yet told: it counted as called off, and its message went again.
+        first, effects = self.call_off()
+        (gone,) = self.only(effects, Abandon)
+        self.assertEqual(self.do(Left(gone.delegation, Progress.OVER)), [])
+        effects = self.end(first, (Outcome.OK, 0.0))
+        self.assertIn(Append(Over("a")), effects)
+        self.assertEqual(self.sent(effects), [["c"]])
+        # The same where the message's time is up just then.
+        self.start()
+        effects = self.take("a", left=2.0)
+        (d,) = self.only(effects, Delegate)
+        self.now += 1.7
+        self.assertEqual(self.up(d, Progress.OVER), [])
+        self.assertIn(Append(Over("a")), self.end(effects, (Outcome.OK, 0.0)))
+
     def test_restored_attempts_count(self) -> None:
         # Guards `MaxAttempts` over all lives: the sixth of six attempts is the last.
         self.start()
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -31,6 +31,7 @@
 from juniperward.forwarder.reducer import RETURN, Reducer
 from juniperward.forwarder.workers import Workers
 from juniperward.net import sockets
+from juniperward.net.http import Stream, read_call
 from nickelscale.interface import MessageClass, Outcome
 from tests.helpers import SAFE, settings
 from tests.rigs import WorkerRig
@@ -107,6 +108,23 @@
         self.workers.close_idle(3)
         self.assertEqual((sock.recv(1), self.tried()), (b"", []))
 
+    def test_what_the_journal_has_no_room_for_is_not_written(self) -> None:
+        # Guards a full disk: a call without its record came back as untried, and a class that may run once ran twice.
+        failing = mock.Mock(side_effect=[None, OSError(28, "No space left on device")])
+        self.workers.note = failing
+        self.workers.delegate(self.delegate())
+        sock, _ = self.door.accept()
+        self.addCleanup(sock.close)
+        asked = read_call(Stream(sock.recv))
+        self.assertEqual((asked.path, asked.headers["x-correlation-id"]), ("/receive", "m0"))
+        sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        self.assertEqual({e.message: e.outcome for e in self.answered()}, {0: Outcome.OK, 1: Outcome.MOOT})
+        failing.side_effect = OSError(28, "No space left on device")
+        self.workers.delegate(self.delegate())
+        self.assertEqual({(e.outcome, e.begun) for e in self.answered()}, {(Outcome.MOOT, False)})
+        self.workers.close_idle(3)
+        self.assertEqual(sock.recv(1), b"")
+
     def answered(self) -> list[End]:
         event = self.events.get(timeout=5.0)
         assert isinstance(event, Answered)
