--- a/tests/player.py
+++ b/tests/player.py
@@ -93,16 +93,21 @@
         }  # fmt: skip
         self.process: subprocess.Popen[bytes] | None = None
 
-    def start(self) -> None:
-        """Start it and wait for its line that says that it serves."""
+    def spawn(self) -> subprocess.Popen[bytes]:
+        """Start it."""
         path = self.folder / "config.json"
         path.write_text(json.dumps(self.config))
         environment = {**os.environ, "ROUTER_CONFIG": str(path), "ROUTER_STATE": str(self.state)}
         self.process = subprocess.Popen(
             [sys.executable, "-m", "juniperward"], cwd=ROOT, env=environment, stderr=subprocess.PIPE
         )
-        assert self.process.stderr is not None
-        for line in self.process.stderr:
+        return self.process
+
+    def start(self) -> None:
+        """Start it and wait for its line that says that it serves."""
+        process = self.spawn()
+        assert process.stderr is not None
+        for line in process.stderr:
             if b"serves on" in line:
                 return
         raise AssertionError("it did not start")
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -20,19 +20,21 @@
     Effect,
     End,
     Event,
+    Handed,
     Heard,
     Notify,
     Parcel,
     Replayed,
+    Reply,
     Restored,
     Taken,
     Wake,
 )
-from juniperward.forwarder.reducer import RETURN, Reducer
+from juniperward.forwarder.reducer import DOOR_WAIT, RETURN, Reducer
 from juniperward.forwarder.workers import Workers
 from juniperward.net import sockets
 from juniperward.net.http import Stream, read_call
-from nickelscale.interface import MessageClass, Outcome
+from nickelscale.interface import MessageClass, Outcome, Phase
 from tests.helpers import SAFE, settings
 from tests.rigs import WorkerRig
 from tests.test_reducer import ReducerRig, call, worker
@@ -204,6 +206,26 @@
         effects = self.begin(Restored(call("later", left=8.0), 105.0))  # after that the spare is needed again
         self.assertAlmostEqual(self.only(effects, Delegate)[0].deadline, 105.0)
 
+    def test_what_is_untried_keeps_its_place_in_a_full_forwarder(self) -> None:
+        # Guards a kill under full load: neither the door nor the giving up of the least worth ends what is read back.
+        found = [Restored(call(f"r{n}", cls=1), 115.0) for n in range(4)]
+        before = counters().get("restored_given_up_untried", 0)
+        effects = self.begin(*found, slots=1, max_open=4)
+        self.assertEqual(self.do(Handed(5, call("new"), self.now)), [Reply(5, 503, DOOR_WAIT)])
+        order = []
+        while sent := self.sent(effects):
+            order += sent[0]
+            effects = self.end(effects, (Outcome.OK, 0.0))
+        self.assertEqual((order, counters().get("restored_given_up_untried", 0)), (["r0", "r1", "r2", "r3"], before))
+        self.assertEqual(self.sent(self.take("new")), [["new"]])
+
+    def test_what_is_untried_goes_as_soon_as_the_list_names_its_destination(self) -> None:
+        # Guards a restart with an old list: its destination is not in it, or only under a worker that is gone since.
+        effects = self.begin(Restored(call("a", destination=5, left=8.0), 105.0))
+        self.assertEqual(self.sent(effects), [])
+        effects = self.do(Heard(42, False, (worker("s-1", phase=Phase.GONE), worker("s-5", 5))))
+        self.assertEqual([d.name for d in self.only(effects, Delegate)], ["s-5"])
+
     def test_what_is_untried_is_held_to_its_last_moment(self) -> None:
         # Guards against an end before its time, also where its destination is not there: counted if it was not tried.
         effects = self.begin(Restored(call("a", destination=5, left=8.0), 105.0))
--- a/tests/test_second_deployment.py
+++ b/tests/test_second_deployment.py
@@ -74,7 +74,7 @@
     def test_bytes_that_never_end_what_they_began_are_silence_too(self) -> None:
         # Guards the 6 s after silence: each byte was a sign of life, so a drain could go unheard for hours.
         head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-        for begin, more in ((b"HTTP/1.1 2", b"0"), (head + b"200000\r\n", b" "), (head, b"1\r\n{\r\n")):
+        for begin, more in ((b"", b""), (b"HTTP/1.1 2", b"0"), (head + b"200000\r\n", b" "), (head, b"1\r\n{\r\n")):
             door = socket.create_server(("127.0.0.1", 0))
             self.addCleanup(door.close)
             events: queue.Queue[Event] = queue.Queue()
