--- a/juniperward/rigs/traces.py
+++ b/juniperward/rigs/traces.py
@@ -124,7 +124,7 @@
                 if found := re.match(r"destination (\d+): (.*)", text):
                     change = 1 if HELD in found[2] else -1 if WELL in found[2] else 0
                     f.add(at, int(found[1]), "sick", change)
-            case "up" | "off" | "close" | "noticed" | "untold":
+            case "up" | "struck" | "off" | "close" | "noticed" | "untold":
                 pass
             case _:
                 raise ValueError(f"no such word: {word}")
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -12,11 +12,14 @@
     Delegate,
     End,
     Handed,
+    Left,
     Notice,
     Notify,
     Parcel,
+    Progress,
     Reply,
     Say,
+    Struck,
     Taken,
     TakeOn,
 )
@@ -40,6 +43,7 @@
         trace.events(0.0, [Handed(1, a, 0.0), Handed(2, b, 0.0), Handed(3, c, 0.0)])
         trace.effects(0.0, [TakeOn(1, 1, Taken(a, 12.0)), Reply(2, 503, 1.0), TakeOn(3, 2, Taken(c, 12.0))])
         trace.effects(0.1, [Delegate(1, 4, "10.1.0.1", 81, 7, (Parcel(1, a),), 12.0)])
+        trace.events(0.15, [Struck(1, 9, Progress.WAITS), Left(9, Progress.WRITTEN)])
         trace.events(0.2, [Answered(1, (End(1, Outcome.FULL, 0.5),))])
         trace.effects(0.3, [Say("destination 7: refuses all, held to trials")])
         trace.effects(2.4, [Delegate(2, 4, "10.1.0.1", 81, 7, (Parcel(1, a),), 12.0)])
