Hold only the worker that told a wait where routes are apart

Change: a wait binds a route (reducer._route): the destination, or where the kind's routes are apart the worker, by the registry's id, so that it outlasts the worker's leaving the list and coming back. Ruled out: the module (its sends were to open routes).

Tests: the reducer's, and over sockets; both red without it.

--- a/juniperward/forwarder/loop.py
+++ b/juniperward/forwarder/loop.py
@@ -147,8 +147,8 @@
                 self.workers.close_idle(worker)
             case Bar(worker=worker, barred=barred):
                 self.workers.bar(worker, barred)
-            case Hold(destination=destination, until=until):
-                self.workers.hold(destination, until)
+            case Hold(route=route, until=until):
+                self.workers.hold(route, until)
             case ForgetWorker(worker=worker):
                 self.workers.forget(worker)
             case WatchFrom(version=version, epoch=epoch):
--- a/juniperward/forwarder/messages.py
+++ b/juniperward/forwarder/messages.py
@@ -44,6 +44,9 @@
     weight: float
 
 
+Route = int | str  # what shares a limit: a destination, or where its workers are routes apart one of them, by its id
+
+
 @dataclass(frozen=True, slots=True)
 class End:
     """How one message of a delegation ended."""
@@ -331,6 +334,7 @@
     parcels: tuple[Parcel, ...]
     deadline: float
     name: str = ""  # the registry's of the worker, for the journal
+    route: Route | None = None  # what a told wait binds; its destination where it is not said
 
 
 @dataclass(frozen=True, slots=True)
@@ -343,6 +347,7 @@
     port: int
     destination: int
     deadline: float
+    route: Route | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -377,9 +382,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Hold:
-    """Write nothing to a destination's workers before `until`."""
+    """Write nothing to a route's workers before `until`."""
 
-    destination: int
+    route: Route
     until: float
 
 
--- a/juniperward/forwarder/reducer.py
+++ b/juniperward/forwarder/reducer.py
@@ -49,6 +49,7 @@
     Replayed,
     Reply,
     Restored,
+    Route,
     Say,
     Stop,
     Strike,
@@ -331,7 +332,7 @@
             elif end.begun:
                 self.effects.append(Append(Ended(held.call.id, not end.outcome.never_ran)))
         if end.wait > 0:
-            self.effects.append(Hold(worker.destination, now + end.wait))
+            self.effects.append(Hold(self._route(worker), now + end.wait))
         self.news.append(
             i.Settled(
                 end.message, attempt, out.worker, end.outcome, now - out.began, over, end.wait,
@@ -481,7 +482,7 @@
         s.looks[s.last_delegation] = worker
         count("probes")
         deadline = now + PROBE_WAIT * self.settings.dial_timeout
-        self.effects.append(Look(s.last_delegation, worker, w.host, w.port, w.destination, deadline))
+        self.effects.append(Look(s.last_delegation, worker, w.host, w.port, w.destination, deadline, self._route(w)))
 
     def _looked(self, now: float, e: Looked) -> None:
         s = self.state
@@ -489,7 +490,7 @@
             return
         w = s.workers.get(e.worker)
         if e.wait > 0 and w is not None:
-            self.effects.append(Hold(w.destination, now + e.wait))
+            self.effects.append(Hold(self._route(w), now + e.wait))
         self.news.append(i.Probed(e.worker, e.outcome, e.latency, e.room, e.limit))
 
     def _delegate(self, now: float, worker: int, asked: list[i.Send]) -> None:
@@ -497,8 +498,7 @@
         if s.stop_at is not None and now > s.stop_at - LAST_START:
             return  # it could not end in this life; the journal has the message for the next one
         w = s.workers[worker]
-        kinds = self.settings.kinds
-        batch = kinds[w.kind].batch if w.kind < len(kinds) else 1
+        batch = self.settings.kind(w.kind).batch
         for first in range(0, len(asked), batch):
             s.last_delegation += 1
             out = s.outs[s.last_delegation] = Out(s.last_delegation, worker, now)
@@ -526,5 +526,11 @@
         count("delegations")
         deadline = now + max(a.timeout for a in asked)
         self.effects.append(
-            Delegate(out.number, out.worker, w.host, w.port, w.destination, tuple(parcels), deadline, w.id)
+            Delegate(
+                out.number, out.worker, w.host, w.port, w.destination, tuple(parcels), deadline, w.id, self._route(w)
+            )
         )
+
+    def _route(self, w: Worker) -> Route:
+        """What a wait binds that this worker tells: its destination, or where routes are apart it alone."""
+        return w.id if self.settings.kind(w.kind).routes_apart else w.destination
--- a/juniperward/forwarder/workers.py
+++ b/juniperward/forwarder/workers.py
@@ -26,6 +26,7 @@
     Parcel,
     Progress,
     Record,
+    Route,
 )
 from juniperward.forwarder.trace import Trace
 from juniperward.net import sockets
@@ -103,7 +104,7 @@
         self.active: dict[int, Job] = {}
         self.idle: dict[int, list[Kept]] = {}
         self.barred: set[int] = set()
-        self.held: dict[int, float] = {}
+        self.held: dict[Route, float] = {}
         self.threads = self.free = 0
         self.trace: Trace | None = None
 
@@ -172,19 +173,19 @@
         with self.lock:
             self.barred.discard(worker)
 
-    def hold(self, destination: int, until: float) -> None:
-        """Write nothing to a destination that told a wait."""
+    def hold(self, route: Route, until: float) -> None:
+        """Write nothing to a route that told a wait."""
         with self.lock:
-            self.held[destination] = max(until, self.held.get(destination, until))
+            self.held[route] = max(until, self.held.get(route, until))
 
-    def _heed(self, destination: int, wait: float) -> None:
-        """Hold a destination from the moment its wait is read, not from when the loop gets to the answer.
+    def _heed(self, what: Delegate | Look, wait: float) -> None:
+        """Hold a route from the moment its wait is read, not from when the loop gets to the answer.
 
         Between the two, other threads write what the module decided before it knew: on a busy process that
         was longer than the 100 ms that the rule lets through.
         """
         if wait > 0:
-            self.hold(destination, time.monotonic() + wait)
+            self.hold(_route(what), time.monotonic() + wait)
 
     def sweep(self, now: float) -> None:
         """Drop connections before their workers do, and waits that are over."""
@@ -197,8 +198,8 @@
                     self.idle[worker] = fresh
                 else:
                     del self.idle[worker]
-            for destination in [d for d, until in self.held.items() if until <= now]:
-                del self.held[destination]
+            for route in [r for r, until in self.held.items() if until <= now]:
+                del self.held[route]
         for k in old:
             k.sock.close()
 
@@ -266,7 +267,7 @@
             log("probe", f"{what.host}:{what.port} gave no whole answer: {error}")
             return ended(Outcome.CONNECT_FAILED if fresh and isinstance(error, ConnectionError) else Outcome.RESET)
         count("probes_answered")
-        self._heed(what.destination, read_wait(answer.headers))
+        self._heed(what, read_wait(answer.headers))
         if answer.close or job.abandoned or kept.stream.buffer:
             kept.sock.close()
         else:
@@ -328,7 +329,7 @@
             kept.sock.close()
         else:
             self._put_back(what.worker, kept)
-        self._heed(what.destination, read_wait(answer.headers))
+        self._heed(what, read_wait(answer.headers))
         return read_ends(what, answer, fresh)
 
     def _dial(self, job: Job, address: tuple[str, int]) -> Kept | None:
@@ -356,7 +357,7 @@
         """
         what, now = job.what, time.monotonic()
         with self.lock:
-            free = what.worker not in self.barred and now >= self.held.get(what.destination, -math.inf)
+            free = what.worker not in self.barred and now >= self.held.get(_route(what), -math.inf)
             if not free or job.abandoned or self.ended or now >= what.deadline:
                 return None
             if isinstance(what, Look):
@@ -408,6 +409,10 @@
             k.sock.close()
 
 
+def _route(what: Delegate | Look) -> Route:
+    return what.destination if what.route is None else what.route
+
+
 def _all(what: Delegate, outcome: Outcome, wait: float = 0.0, **more: Any) -> tuple[End, ...]:
     return tuple(End(p.message, outcome, wait, **more) for p in what.parcels)
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -283,6 +283,27 @@
         assert isinstance(event, Answered)
         return event.ends[0].outcome
 
+    def test_where_routes_are_apart_a_told_wait_holds_its_worker_alone(self) -> None:
+        # Guards a customer whose partners' endpoints have limits of their own: one that told a wait held the others
+        # of its destination, and what the module sent to those came back as not sent, a try used up.
+        def ask(number: int, worker: int, name: str) -> Delegate:
+            return replace(delegate(number, self.port), worker=worker, name=name, route=name)
+
+        self.workers.delegate(ask(1, 3, "s-3"))
+        sock, _ = self.door.accept()
+        self.addCleanup(sock.close)
+        sock.recv(1000)
+        sock.sendall(b"HTTP/1.1 429 X\r\nRetry-After: 60\r\nContent-Length: 0\r\n\r\n")
+        self.assertIs(self.outcome(), Outcome.FULL)
+        self.workers.delegate(ask(2, 4, "s-4"))
+        other, _ = self.door.accept()
+        self.addCleanup(other.close)
+        self.assertIn(b"m0", other.recv(1000))
+        other.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        self.assertIs(self.outcome(), Outcome.OK)
+        self.workers.delegate(ask(3, 3, "s-3"))
+        self.assertIs(self.outcome(), Outcome.MOOT)
+
     def test_what_waited_behind_a_dial_is_not_written_late(self) -> None:
         # Guards the 250 ms after a drain and a told wait: both may come while a connection is opened.
         self.workers.bar(3, True)
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -194,6 +194,21 @@
         self.now += 1.0
         self.assertEqual(self.sent(self.take("b")), [])
 
+    def test_where_routes_are_apart_a_wait_binds_the_worker_that_told_it(self) -> None:
+        for apart, told, more in ((False, 1, []), (True, "s-1", [["b"]])):
+            with self.subTest(apart):
+                self.start(kinds=(Kind(routes_apart=apart),))
+                effects = self.take("a")
+                self.assertEqual([d.route for d in self.only(effects, Delegate)], [told])
+                effects = self.end(effects, (Outcome.FULL, 5.0))
+                self.assertEqual(self.only(effects, Hold), [Hold(told, 105.0)])
+                self.do(Heard(42, False, (worker("s-2"),)))
+                self.now += 0.5
+                # The other worker is called by the module, and the sockets let it.
+                later = self.do(Heard(43, False, ()))
+                sent = self.sent(later) + self.sent(self.take("b"))
+                self.assertEqual(sent[-1:], more)
+
     def test_a_message_out_to_its_end_is_failed_at_once(self) -> None:
         self.start()
         effects = self.take("a", cls=1, left=2.0)
