--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -297,6 +297,7 @@
         self.assertIs(self.outcome(), Outcome.FULL)
         self.workers.delegate(ask(2, 4, "s-4"))
         other, _ = self.door.accept()
+        other.settimeout(5.0)
         self.addCleanup(other.close)
         self.assertIn(b"m0", other.recv(1000))
         other.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
