--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -292,6 +292,7 @@
         self.workers.delegate(ask(1, 3, "s-3"))
         sock, _ = self.door.accept()
         self.addCleanup(sock.close)
+        sock.settimeout(5.0)
         sock.recv(1000)
         sock.sendall(b"HTTP/1.1 429 X\r\nRetry-After: 60\r\nContent-Length: 0\r\n\r\n")
         self.assertIs(self.outcome(), Outcome.FULL)
@@ -411,12 +412,14 @@
             up.set()
             sock, _ = self.door.accept()
         self.addCleanup(sock.close)
+        sock.settimeout(5.0)
         while not self.workers.idle:  # it came up after all
             time.sleep(0)
         self.workers.delegate(delegate(2, self.port))
         self.assertEqual(sock.recv(1000), b"")  # nothing was written on it, and it was not fit for the next one
         sock, _ = self.door.accept()
         self.addCleanup(sock.close)
+        sock.settimeout(5.0)
         self.assertIn(b"m0", sock.recv(1000))
         while self.workers.active[2].progress is not Progress.WRITTEN:
             time.sleep(0)
@@ -425,6 +428,7 @@
         self.workers.delegate(delegate(3, self.port))
         sock, _ = self.door.accept()
         self.addCleanup(sock.close)
+        sock.settimeout(5.0)
         sock.recv(1000)
         sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
         event = self.events.get(timeout=5.0)
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -117,6 +117,7 @@
         self.workers.delegate(self.delegate())
         sock, _ = self.door.accept()
         self.addCleanup(sock.close)
+        sock.settimeout(5.0)
         asked = read_call(Stream(sock.recv))
         self.assertEqual((asked.path, asked.headers["x-correlation-id"]), ("/receive", "m0"))
         sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
