Take nothing on that was read after its connection was shut for others' sake

`leaving` says it itself now, and the answer tells the client that its connection ends. Test: test_net, red without it.

--- a/juniperward/forwarder/server.py
+++ b/juniperward/forwarder/server.py
@@ -130,12 +130,12 @@
             if not client.pending:
                 return False
             client.pending = False
-            left = sockets.ended(client.sock)
+            left = client.leaving or sockets.ended(client.sock)
             if left:
-                # It ended its sending: whether it still reads is unknown, so nothing is taken on for it.
+                # Its sending has ended, by it or by us: nothing is taken on for one that may be gone.
                 status, retry_after = 503, BACK
                 count("clients_left")
-            client.close = client.close or self.leave or self.stopping
+            client.close = client.close or client.leaving or self.leave or self.stopping
             told = self._write(client, encode_reply(status, retry_after, client.close))
             client.answered.set()
         return told and not left
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -164,11 +164,14 @@
         client.pending = True
         self.assertTrue(server.answer(1, 202))
         self.assertFalse(server.answer(1, 202))  # answered already
-        client.pending = True
+        client.pending = client.leaving = True  # its call was read after we had shut its connection for others' sake
+        self.assertFalse(server.answer(1, 202))
+        self.assertTrue(client.close)
+        client.pending, client.leaving = True, False
         theirs.shutdown(socket.SHUT_WR)
         self.assertFalse(server.answer(1, 202))
         told = theirs.recv(1000)
-        self.assertEqual((told.count(b" 202 "), told.count(b" 503 ")), (1, 1))
+        self.assertEqual((told.count(b" 202 "), told.count(b" 503 ")), (1, 2))
         self.assertFalse(server.answer(2, 202))
 
 
