--- a/nickelscale/rules.py
+++ b/nickelscale/rules.py
@@ -172,7 +172,7 @@
         """Attempts of an earlier life count, and rule 2 binds over a restart; whether the message goes on."""
         m.sends, m.last = len(history), history[-1].endpoint
         m.maybe = {n: t.sent for n, t in enumerate(history) if t.sent is not None}
-        ran = [self.endpoints[t.endpoint] for t in history if t.sent is not None and t.endpoint in self.endpoints]
+        ran = [ep for t in history if t.sent is not None and (ep := self.endpoints.get(t.endpoint))]
         m.zone = ran[0].zone if ran else -1  # -1: where it may have run is not listed any more
         if m.sends >= self.set.max_attempts or not may_repeat(m, self.now):
             self._give_up(m)
