--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -2,18 +2,22 @@
 
 from __future__ import annotations
 
+import json
 import shutil
 import tempfile
 import threading
+import unittest
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 from unittest import mock
 
+from juniperward.forwarder.config import load
 from juniperward.forwarder.counters import counters
 from juniperward.forwarder.journal import NAME, Journal
 from juniperward.forwarder.messages import (
     Answered,
+    Began,
     Call,
     Delegate,
     Delegated,
@@ -31,11 +35,13 @@
     Wake,
 )
 from juniperward.forwarder.reducer import DOOR_WAIT, RETURN, Reducer
+from juniperward.forwarder.start import build
 from juniperward.forwarder.workers import Workers
 from juniperward.net import sockets
 from juniperward.net.http import Stream, read_call
 from nickelscale.interface import MessageClass, Outcome, Phase
 from tests.helpers import SAFE, settings
+from tests.player import Program
 from tests.rigs import WorkerRig
 from tests.test_reducer import ReducerRig, call, worker
 
@@ -154,6 +160,22 @@
         self.assertEqual(counters().get("journal_damaged", 0), before)
 
 
+class WiringTest(unittest.TestCase):
+    def test_the_process_tells_its_calls_of_a_record_that_was_not_written(self) -> None:
+        # Guards start.build: with a note that only logs the fault, a call would be begun without its record.
+        with tempfile.TemporaryDirectory() as folder:
+            program = Program(Path(folder))
+            self.addCleanup(program.close)
+            path = Path(folder) / "config.json"
+            path.write_text(json.dumps(program.config))
+            loop = build(load({"ROUTER_CONFIG": str(path), "ROUTER_STATE": str(program.state)}))
+            self.addCleanup(loop.server.listener.close)
+            self.addCleanup(loop.journal.close)
+            loop.journal.append(Taken(Call("m0", 0, 0, 7, 9.0, None, b""), 1e6))
+            with mock.patch.object(Journal, "_write", side_effect=OSError(28, "No space left on device")):
+                self.assertRaises(OSError, loop.workers.note, Began("m0", 1.0, "s-7"))
+
+
 class UntriedTest(ReducerRig):
     """The reducer and the module after a restart."""
 
