Review case 1: under bad clients a late 202 answers the next request; messages are lost

Cause: an answer is found by its connection alone. After 0.35 s the session answers 503 and reads the next request, and the loop then writes the first message's 202 as the answer to the second.

--- a/review/standins.py
+++ b/review/standins.py
@@ -243,14 +243,19 @@
     status: int = 0
     retry_after_s: float = 0.0
     written: bool = False
+    connection: int = 0  # the number of the connection that carried it last
 
 
 class Connection:
     """A client's connection, which carries one request at a time."""
 
+    last_number = 0
+
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Use an open connection."""
         self.reader, self.writer = reader, writer
+        Connection.last_number += 1
+        self.number = Connection.last_number
 
     async def exchange(self, data: bytes, wait_s: float) -> tuple[int, dict[str, str]]:
         """Send a request; return the answer's status and headers, (0, {}) for none in time, (-1, {}) if it broke."""
@@ -307,6 +312,7 @@
                 handing_in.status = -1
                 break
             handing_in.written = True
+            handing_in.connection = connection.number
             status, headers = await connection.exchange(data, CLIENT_WAIT_S)
             handing_in.status = status
             if status > 0 and headers.get("connection", "").lower() != "close" and connection.usable:
@@ -319,7 +325,7 @@
                 break
         self.record.add(
             "handed in", id=handing_in.id, body=message.body.decode("latin-1")[:60], status=handing_in.status,
-            took=round(now() - handing_in.sent_at, 4), repeat=repeat,
+            took=round(now() - handing_in.sent_at, 4), repeat=repeat, connection=handing_in.connection,
         )  # fmt: skip
         return handing_in
 
