--- a/review/standins.py
+++ b/review/standins.py
@@ -201,11 +201,13 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(ConnectionError, asyncio.CancelledError):
             while request := await read_request(reader):
-                if self.behaviour is not None:
+                if request.method == "GET":  # a probe
+                    writer.write(response(200))
+                elif self.behaviour is not None:
                     status = await self.behaviour(self, request)
                     writer.write(response(status))
-                    continue
-                await self._answer(request, writer)
+                else:
+                    await self._answer(request, writer)
         writer.close()
 
     async def _answer(self, request: Request, writer: asyncio.StreamWriter) -> None:
@@ -378,11 +380,17 @@
         self.temporary.mkdir()
         self.process: subprocess.Popen[bytes] | None = None
 
-    def write_config(self, settings: dict[str, Any], limits: dict[str, Any], known: dict[str, Any]) -> None:
-        """Write the configuration file."""
+    def write_config(
+        self,
+        settings: dict[str, Any],
+        limits: dict[str, Any],
+        known: dict[str, Any],
+        operator: dict[str, Any] | None = None,
+    ) -> None:
+        """Write the configuration file; `operator` are keys that an operator's own file adds."""
         document = {
             "name": self.name, "listen": f"{HOST}:{self.port}", "discovery": f"{HOST}:{self.platform_port}",
-            "seed": os.urandom(8).hex(), "limits": limits, "known": known, "settings": settings,
+            "seed": os.urandom(8).hex(), "limits": limits, "known": known, "settings": settings, **(operator or {}),
         }  # fmt: skip
         self.config.write_text(json.dumps(document), encoding="utf-8")
 
