--- a/review/1/case.py
+++ b/review/1/case.py
@@ -42,8 +42,8 @@
 RETRY_WAIT_S = (0.41, 1.4)
 REFUSED = (429, 503)
 TAKEN_ON = (200, 202)
-# The bad connections that begin after so many seconds; all together 96 of the 341 that the pages allow.
-BAD_CONNECTIONS = ((0.0, 40), (1.5, 8), (3.0, 8), (4.5, 8), (6.0, 8), (7.5, 8), (9.0, 8), (10.5, 8))
+# The bad connections that begin after so many seconds; all together 124 of the 341 that the pages allow.
+BAD_CONNECTIONS = ((0.0, 40), *((1.5 * step, 12) for step in range(1, 8)))
 
 
 async def bad_clients(record: Record, port: int, began_at: float) -> list[subprocess.Popen[bytes]]:
