--- a/review/standins.py
+++ b/review/standins.py
@@ -11,6 +11,7 @@
 import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -26,6 +27,7 @@
 HOST = "127.0.0.1"
 CLIENT_WAIT_S = 0.4  # A client awaits its answer for this time, then closes the connection.
 READY_TIMEOUT_S = 30.0
+FORWARDER_PORTS = (20_000, 32_000)
 HEARTBEAT_S = 2.0
 
 
@@ -38,10 +40,15 @@
 
 
 def free_port() -> int:
-    """Return a free port of the loopback interface."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return int(sock.getsockname()[1])
+    """Return a free port of the loopback interface, below those that the system gives to outgoing connections.
+
+    A forwarder needs its port again after a restart, so no connection may get it meanwhile.
+    """
+    while True:
+        port = random.randrange(*FORWARDER_PORTS)
+        with contextlib.suppress(OSError), socket.socket() as sock:
+            sock.bind((HOST, port))
+            return port
 
 
 def now() -> float:
