Find the request to answer by its own number, not by its connection's

Cause: a connection's thread answers 503 after 0.35 s and reads the next request. The loop found the request to answer by the connection's number and a flag that the next request had set again, so the late 202 of the first message was written to the second one. The first was accepted, the second withdrawn.

Change: each request has a number (`PendingRequests`), which its event and effects carry. An answer to a request that is no longer pending is dropped and counted as `answers_late`; its message is withdrawn. The record of a message is journalled only while its request is pending and under the connection's lock, so that a kill cannot leave a rejected message to the next process.

TestLateAnswers (tests/test_client_faults.py) fails on the code before: the late 202 is written. Tests that set `pending` by hand now make a request pending by `PendingRequests.add`, with the same assertions.

--- a/juniperward/forwarder/client_connection.py
+++ b/juniperward/forwarder/client_connection.py
@@ -36,9 +36,9 @@
 
     Attributes:
         number: Identifies the connection in events and effects.
-        lock: Guards `pending` and changes of `idle`; whoever clears `pending` writes the answer.
-        answered: Set when the loop has written the answer to the pending message.
-        pending: Whether a message waits for the reducer's answer.
+        lock: Guards `pending_request` and changes of `idle`; whoever ends the request writes its answer.
+        answered: Set when the loop has written the answer to the pending request.
+        pending_request: The number of the request that waits for the reducer's answer, or None.
         idle: Whether no request has begun since the last one was answered.
         served: Whether a complete request has been read.
         close_after_answer: Whether the answer that is written next ends the connection.
@@ -53,7 +53,7 @@
         self.number, self.sock = number, sock
         self.lock = threading.Lock()
         self.answered = threading.Event()
-        self.pending = False
+        self.pending_request: int | None = None
         self.idle = True
         self.served = False
         self.close_after_answer = False
@@ -92,7 +92,7 @@
 
     def linger(self) -> None:
         """Shut down the sending side, then discard input for a short time so that a close does not reset it."""
-        check_invariant(not self.pending, "no_close_before_an_answer")
+        check_invariant(self.pending_request is None, "no_close_before_an_answer")
         sockets.shutdown(self.sock, socket.SHUT_WR)
         sockets.set_timeout(self.sock, socket.SO_RCVTIMEO, LINGER_TIMEOUT_S)
         until = time.monotonic() + LINGER_TIMEOUT_S
--- a/juniperward/forwarder/client_session.py
+++ b/juniperward/forwarder/client_session.py
@@ -1,7 +1,7 @@
 """Reads and answers the requests of a client connection, one at a time, on the connection's thread.
 
-A message is posted to the reducer as `MessageReceived`, and the loop writes its answer (`server.py`). All other
-requests, and messages that the reducer does not answer in time, are answered here.
+A message is posted to the reducer as `MessageReceived` with the number of its request, and the loop writes its answer
+(`server.py`). All other requests, and messages that the reducer does not answer in time, are answered here.
 """
 
 from __future__ import annotations
@@ -19,6 +19,7 @@
 from juniperward.forwarder.codec import MESSAGE_PATH, UnreadableMessageError, decode_message, encode_reply
 from juniperward.forwarder.events import Event, MessageReceived
 from juniperward.forwarder.health_page import answer_page
+from juniperward.forwarder.pending_requests import PendingRequests
 from juniperward.forwarder.settings_names import SettingsNames
 from juniperward.forwarder.telemetry import increment, report_fault
 from juniperward.net import sockets
@@ -59,9 +60,15 @@
 class ClientSessions:
     """Serves client connections; `serve` is called on a separate thread for each connection."""
 
-    def __init__(self, names: SettingsNames, state: ServiceState, post: Callable[[Event], None]) -> None:
+    def __init__(
+        self,
+        names: SettingsNames,
+        state: ServiceState,
+        requests: PendingRequests,
+        post: Callable[[Event], None],
+    ) -> None:
         """Decode messages with the names of the settings, and submit them to the reducer with `post`."""
-        self._names, self._state, self._post = names, state, post
+        self._names, self._state, self._requests, self._post = names, state, requests, post
 
     def serve(self, client: ClientConnection) -> None:
         """Answer requests until the connection ends; the caller closes the socket."""
@@ -128,17 +135,14 @@
             increment("requests_unreadable")
             client.write(encode_reply(HttpStatus.BAD_REQUEST, 0.0, close, str(error)))
             return
-        with client.lock:
-            client.answered.clear()
-            client.pending = True
-        self._post(MessageReceived(client.number, message, received_at))
+        self._post(MessageReceived(self._requests.add(client), message, received_at))
         if client.answered.wait(ANSWER_TIMEOUT_S):
             return
         with client.lock:
-            if not client.pending:
+            if client.pending_request is None:
                 return
-            # `Server.answer` then returns False for a late answer of the reducer, and the message is withdrawn.
-            client.pending = False
+            # The reducer's answer is then dropped as late, and the message is withdrawn.
+            self._requests.end(client)
             increment("rejections_overdue")
             close = request.close or self._state.stopping
             client.write(encode_reply(HttpStatus.SERVICE_UNAVAILABLE, RETRY_AFTER_S, close))
--- a/juniperward/forwarder/effect_executor.py
+++ b/juniperward/forwarder/effect_executor.py
@@ -44,14 +44,11 @@
 from juniperward.forwarder.records import JournalRecord
 from juniperward.forwarder.server import Server
 from juniperward.forwarder.telemetry import increment, log
-from juniperward.net.http_status import HttpStatus
 
 if TYPE_CHECKING:  # These are imported at run time only if a control channel or a spool is configured.
     from juniperward.control.protocol import Answer
     from juniperward.forwarder.dead_letter_writer import DeadLetterWriter
 
-JOURNAL_FULL_RETRY_AFTER_S = 1.0
-
 
 class Timers(Protocol):
     """Posts events at a given time."""
@@ -93,14 +90,14 @@
     def perform(self, effect: Effect) -> Event | None:
         """Perform an effect; return the event that it causes at once, if any."""
         match effect:
-            case AcceptMessage(client=client, message=message, record=record):
-                return MessageAccepted(message, self._accept(client, record))
+            case AcceptMessage(request=request, message=message, record=record):
+                return MessageAccepted(message, self.server.accept(request, lambda: self._journal(record)))
             case CancelAttempt(attempt_number=number):
                 return AttemptCancelled(number, self.endpoint_client.cancel(number))
             case WithdrawFromBatch(attempt_number=number, message=message):
                 return BatchItemWithdrawn(number, message, self.endpoint_client.withdraw(number, message))
-            case ReplyToClient(client=client, status=status, retry_after_s=retry_after_s):
-                self.server.answer(client, status, retry_after_s)
+            case ReplyToClient(request=request, status=status, retry_after_s=retry_after_s):
+                self.server.answer(request, status, retry_after_s)
             case AppendRecord(record=record):
                 self._append(record)
             case SetTimer(at=at, event=event):
@@ -145,23 +142,19 @@
             case RecordRedriveOutcome() if self.dead_letters is not None:
                 self.dead_letters.record_redrive_outcome(effect)
 
-    def _accept(self, client: int, record: JournalRecord) -> bool:
-        """Journal a message and then answer 202, so that an accepted message survives a crash.
-
-        Return whether the message was journalled and its client received the answer.
-        """
+    def _journal(self, record: JournalRecord) -> bool:
+        """Journal a message before it is accepted, so that it survives a crash; return whether that worked."""
         try:
             self.journal.append(record)
         except JournalFullError:
             increment("rejections_disk")
             log("journal", "full; message rejected")
+            return False
         except OSError as error:
             increment("journal_failures")
             log("journal", "write failed; message rejected", error=error)
-        else:
-            return self.server.answer(client, HttpStatus.ACCEPTED)
-        self.server.answer(client, HttpStatus.SERVICE_UNAVAILABLE, JOURNAL_FULL_RETRY_AFTER_S)
-        return False
+            return False
+        return True
 
     def _append(self, record: JournalRecord) -> None:
         try:
--- a/juniperward/forwarder/effects.py
+++ b/juniperward/forwarder/effects.py
@@ -18,18 +18,18 @@
 
 @dataclass(frozen=True, slots=True)
 class AcceptMessage:
-    """Journal a message, then answer its client 202; `MessageAccepted` follows in the same round."""
+    """Journal the message of a request, then answer it 202; `MessageAccepted` follows in the same round."""
 
-    client: int
+    request: int
     message: int
     record: AcceptedRecord
 
 
 @dataclass(frozen=True, slots=True)
 class ReplyToClient:
-    """Answer a client whose message is rejected or is a duplicate."""
+    """Answer a request whose message is rejected or is a duplicate."""
 
-    client: int
+    request: int
     status: int
     retry_after_s: float = 0.0
 
--- a/juniperward/forwarder/events.py
+++ b/juniperward/forwarder/events.py
@@ -26,9 +26,12 @@
 
 @dataclass(frozen=True, slots=True)
 class MessageReceived:
-    """A client sent a message, whose last byte arrived at `received_at`."""
+    """A client sent a message, whose last byte arrived at `received_at`.
 
-    client: int
+    `request` is the number of the client's request, which no other request of this process has.
+    """
+
+    request: int
     message: Message
     received_at: float
 
--- a/juniperward/forwarder/reducer/intake.py
+++ b/juniperward/forwarder/reducer/intake.py
@@ -62,19 +62,19 @@
         if self._is_known(message.id):
             # A client repeats a request if its connection was closed before the response arrived.
             increment("duplicates_received")
-            self._round.emit(ReplyToClient(event.client, HttpStatus.ACCEPTED))
+            self._round.emit(ReplyToClient(event.request, HttpStatus.ACCEPTED))
             return
         reason = self._rejection(event)
         if reason is not None:
             increment(f"rejections_{reason}")
             self._round.emit(
-                ReplyToClient(event.client, HttpStatus.SERVICE_UNAVAILABLE, ADMISSION_RETRY_AFTER_S)
+                ReplyToClient(event.request, HttpStatus.SERVICE_UNAVAILABLE, ADMISSION_RETRY_AFTER_S)
             )
             return
         pending = self._new_message(event)
         messages.begin_accepting(pending)
         record = AcceptedRecord(message, pending.expires_at, pending.executed_at)
-        self._round.emit(AcceptMessage(event.client, pending.number, record))
+        self._round.emit(AcceptMessage(event.request, pending.number, record))
 
     def _new_message(self, event: MessageReceived) -> PendingMessage:
         message = event.message
--- a/juniperward/forwarder/server.py
+++ b/juniperward/forwarder/server.py
@@ -1,7 +1,7 @@
 """The server for clients: a listener thread, and one thread with a small stack for each connection.
 
-`answer`, `set_draining` and `has_finished` are called by the loop's thread; `start`, `stop` and `close` by the main
-thread.
+`answer`, `accept`, `set_draining` and `has_finished` are called by the loop's thread; `start`, `stop` and `close` by
+the main thread.
 """
 
 from __future__ import annotations
@@ -10,7 +10,7 @@
 import socket
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from juniperward.forwarder.client_connection import ClientConnection
 from juniperward.forwarder.client_session import (
@@ -22,6 +22,7 @@
 from juniperward.forwarder.codec import encode_reply
 from juniperward.forwarder.descriptors import MAX_CLOSING_CLIENTS
 from juniperward.forwarder.events import Event
+from juniperward.forwarder.pending_requests import PendingRequests
 from juniperward.forwarder.settings_names import SettingsNames
 from juniperward.forwarder.telemetry import increment, log, report_fault
 from juniperward.net import sockets
@@ -58,7 +59,8 @@
         """
         self.table = ClientTable(max_clients, max_closing_clients)
         self.state = ServiceState()
-        self.sessions = ClientSessions(names, self.state, post)
+        self.requests = PendingRequests()
+        self.sessions = ClientSessions(names, self.state, self.requests, post)
         self._closed = False
         self._accepting = threading.Thread(target=self._accept, name="listener", daemon=True)
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -104,27 +106,56 @@
         """Return whether the listener is closed and all connections are closed."""
         return self._closed and not len(self.table)
 
-    def answer(self, number: int, status: int, retry_after_s: float = 0.0) -> bool:
-        """Answer a client's pending message and return whether the answer was written as given.
+    def answer(self, request: int, status: int, retry_after_s: float = 0.0) -> bool:
+        """Answer a pending request by its number and return whether the answer was written as given.
 
         A client that was evicted or has ended its side of the connection gets status 503 instead, because no message
-        may be accepted from a client that may be gone.
+        may be accepted from a client that may be gone. Nothing is written if the request was answered before.
         """
-        client = self.table.get(number)
+        with self._locked_client(request) as client:
+            return client is not None and self._write_answer(client, status, retry_after_s)
+
+    def accept(self, request: int, journal: Callable[[], bool]) -> bool:
+        """Have `journal` write the message of a pending request, then answer 202; return whether both were done.
+
+        `journal` returns whether it wrote the message. It is not called if the request was answered before or its
+        client is gone. The connection's thread cannot reject the request meanwhile, so that the journal never has a
+        message whose client was told before that it is rejected.
+        """
+        with self._locked_client(request) as client:
+            if client is None:
+                return False
+            is_journalled = not _is_gone(client) and journal()
+            status = HttpStatus.ACCEPTED if is_journalled else HttpStatus.SERVICE_UNAVAILABLE
+            written = self._write_answer(client, status, 0.0 if is_journalled else RETRY_AFTER_S)
+            return is_journalled and written
+
+    @contextlib.contextmanager
+    def _locked_client(self, request: int) -> Iterator[ClientConnection | None]:
+        """Hold the lock of a pending request's connection; yield None if the request is no longer pending."""
+        client = self.requests.client_of(request)
         if client is None:
-            return False
+            increment("answers_late")
+            yield None
+            return
         with client.lock:
-            if not client.pending:
-                return False
-            client.pending = False
-            disconnected = client.evicted or sockets.is_closed_by_peer(client.sock)
-            if disconnected:
-                status, retry_after_s = HttpStatus.SERVICE_UNAVAILABLE, RETRY_AFTER_S
-                increment("clients_disconnected")
-            if client.evicted or self.state.draining or self.state.stopping:
-                client.close_after_answer = True
-            written = client.write(encode_reply(status, retry_after_s, client.close_after_answer))
-            client.answered.set()
+            if client.pending_request == request:
+                yield client
+                return
+        increment("answers_late")
+        yield None
+
+    def _write_answer(self, client: ClientConnection, status: int, retry_after_s: float) -> bool:
+        """End a connection's pending request with an answer; the caller holds the connection's lock."""
+        self.requests.end(client)
+        disconnected = _is_gone(client)
+        if disconnected:
+            status, retry_after_s = HttpStatus.SERVICE_UNAVAILABLE, RETRY_AFTER_S
+            increment("clients_disconnected")
+        if client.evicted or self.state.draining or self.state.stopping:
+            client.close_after_answer = True
+        written = client.write(encode_reply(status, retry_after_s, client.close_after_answer))
+        client.answered.set()
         return written and not disconnected
 
     # --- threads ----------------------------------------------------------------------------------------
@@ -176,5 +207,10 @@
             self.table.remove(client)
 
 
+def _is_gone(client: ClientConnection) -> bool:
+    """Return whether a client was evicted or has ended its side of the connection."""
+    return client.evicted or sockets.is_closed_by_peer(client.sock)
+
+
 def _reject_connection(client: ClientConnection) -> None:
     client.write(encode_reply(HttpStatus.SERVICE_UNAVAILABLE, RETRY_AFTER_S, True, "too many connections"))
--- a/juniperward/forwarder/trace.py
+++ b/juniperward/forwarder/trace.py
@@ -51,7 +51,7 @@
     def __init__(self, unix_offset_s: float) -> None:
         """Start a trace; `unix_offset_s` is Unix time minus monotonic time."""
         self._unix_offset_s = unix_offset_s
-        # By client: the destination and the id of the message that was received and not answered yet.
+        # By request: the destination and the id of the message that was received and not answered yet.
         self._unanswered: dict[int, str] = {}
 
     def write_events(self, now: float, events: Iterable[Event]) -> None:
@@ -61,9 +61,9 @@
     def _event_lines(self, event: Event) -> list[str]:
         lines: list[str] = []
         match event:
-            case MessageReceived(client=client, message=message):
-                self._unanswered[client] = f"{message.destination} {message.id}"
-                lines = [f"handed {self._unanswered[client]} {message.time_left_s:.3f}"]
+            case MessageReceived(request=request, message=message):
+                self._unanswered[request] = f"{message.destination} {message.id}"
+                lines = [f"handed {self._unanswered[request]} {message.time_left_s:.3f}"]
             case MessageAccepted(client_answered=False, message=number):
                 lines = [f"untold {number}"]
             case NotificationAcknowledged(ids=ids):
@@ -81,10 +81,10 @@
     def _effect_lines(self, effect: Effect) -> list[str]:
         lines: list[str] = []
         match effect:
-            case AcceptMessage(client=client):
-                lines = [f"taken {self._unanswered.pop(client, '? ?')}"]
-            case ReplyToClient(client=client, status=status, retry_after_s=retry_after_s):
-                lines = [f"refused {self._unanswered.pop(client, '? ?')} {status} {retry_after_s:.3f}"]
+            case AcceptMessage(request=request):
+                lines = [f"taken {self._unanswered.pop(request, '? ?')}"]
+            case ReplyToClient(request=request, status=status, retry_after_s=retry_after_s):
+                lines = [f"refused {self._unanswered.pop(request, '? ?')} {status} {retry_after_s:.3f}"]
             case StartAttempt(items=items):
                 ids = ",".join(item.content.id for item in items)
                 address = f"{effect.host}:{effect.port}"
--- a/tests/test_client_faults.py
+++ b/tests/test_client_faults.py
@@ -106,7 +106,7 @@
     def accept_message(self, event: Event) -> None:
         assert isinstance(event, MessageReceived)
         self.received.put(event.message.id)
-        self.server.answer(event.client, 503 if self.server.state.stopping else 202)
+        self.server.answer(event.request, 503 if self.server.state.stopping else 202)
 
     def connect(self) -> socket.socket:
         sock = socket.create_connection(self.address, WAIT_S)
@@ -269,6 +269,45 @@
         assert client.read_deadline == client.idle_since + client_connection.FIRST_REQUEST_TIMEOUT_S
 
 
+class TestLateAnswers(UsesResources):
+    """The reducer answers requests of one connection after the connection's thread has given up on the first."""
+
+    @pytest.fixture(autouse=True)
+    def set_up(self, resources: Resources, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.resources, self.monkeypatch = resources, monkeypatch
+        self.events: queue.Queue[Event] = queue.Queue()
+        self.server = Server(("127.0.0.1", 0), NAMES, 20, self.events.put)
+        self.server.start()
+        self.resources.callback(self.server.close)
+        self.sock = socket.create_connection(self.server.listener.getsockname(), WAIT_S)
+        self.resources.callback(self.sock.close)
+        self.stream = Stream(self.sock.recv)
+
+    def send(self, name: str, answer_timeout_s: float) -> int:
+        """Send a message; return the number of its request, once the reducer has got it."""
+        self.monkeypatch.setattr(client_session, "ANSWER_TIMEOUT_S", answer_timeout_s)
+        self.sock.sendall(request(name))
+        event = self.events.get(timeout=WAIT_S)
+        assert isinstance(event, MessageReceived)
+        assert event.message.id == name
+        return event.request
+
+    def test_a_late_answer_is_not_written_to_the_next_request_of_the_connection(self) -> None:
+        # Guards against accepting a message that was rejected, and losing the next one, which then hears its 202.
+        late = self.send("a", 0.001)
+        assert read_response(self.stream).status == 503
+        current = self.send("b", WAIT_S)
+        journal = mock.Mock(return_value=True)
+        assert not self.server.accept(late, lambda: journal("a"))
+        assert not self.server.answer(late, 202)
+        assert self.server.accept(current, lambda: journal("b"))
+        assert read_response(self.stream).status == 202
+        assert (journal.mock_calls, len(self.server.requests)) == ([mock.call("b")], 0)
+        # The answers stay in step with the requests.
+        assert self.server.answer(self.send("c", WAIT_S), 429)
+        assert read_response(self.stream).status == 429
+
+
 class TestKill(UsesResources):
     def test_a_kill_immediately_after_the_answer_loses_no_message(self) -> None:
         # A message must be in the journal before its 202 is sent. The process is killed three times after a 202.
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -45,15 +45,17 @@
         return [name for name, _, _ in mock_calls]
 
     def test_a_message_is_journalled_before_its_answer_and_answered_before_its_attempt(self) -> None:
+        # `TestServer` in test_net.py holds the server to journalling the message before it writes the answer.
         journals: list[bytes] = []
 
         def record_journal(*_args: object) -> bool:
             journals.append(self.path.read_bytes())
             return True
 
-        self.mocks.server.answer.side_effect = self.mocks.endpoint_client.start.side_effect = record_journal
+        self.mocks.server.accept.side_effect = lambda _, journal: journal() and record_journal()
+        self.mocks.endpoint_client.start.side_effect = record_journal
         self.submit()
-        assert self.recorded_calls() == ["server.answer", "endpoint_client.start"]
+        assert self.recorded_calls() == ["server.accept", "endpoint_client.start"]
         assert [text.count(b"taken") for text in journals] == [1, 1]
         # An attempt is journalled with its first byte only.
         assert [text.count(b"began") for text in journals] == [0, 0]
@@ -62,10 +64,13 @@
 
     def test_nothing_is_sent_for_a_client_without_an_acknowledgement(self) -> None:
         # Guards against delivering a message whose client was not answered and submits it again.
-        self.mocks.server.answer.return_value = False
-        self.submit()
-        assert self.recorded_calls() == ["server.answer"]
-        assert self.journal.restored() == ()
+        # The client is found to be gone after its message was journalled, or before.
+        for accept in (lambda _, journal: not journal(), lambda *_: False):
+            self.mocks.reset_mock()
+            self.mocks.server.accept.side_effect = accept
+            self.submit()
+            assert self.recorded_calls() == ["server.accept"]
+            assert (self.journal.restored(), len(self.journal.live)) == ((), 0)
 
     def test_events_queued_at_shutdown_are_processed_and_no_attempt_starts(self) -> None:
         # Guards against repeating a delivery or a notification whose result was queued at the shutdown.
@@ -89,7 +94,9 @@
     def test_a_message_that_cannot_be_journalled_is_not_accepted(self) -> None:
         for error in (JournalFullError(2, 1), OSError(28, "No space left on device")):
             self.mocks.reset_mock()
+            self.mocks.server.accept.side_effect = lambda _, journal: journal()
             with mock.patch.object(self.journal, "append", side_effect=[error, None]):
                 self.submit()
-            self.mocks.server.answer.assert_called_once_with(5, 503, mock.ANY)
-            assert self.recorded_calls() == ["server.answer"]
+            # `TestServer` in test_net.py holds the server to status 503 in this case.
+            self.mocks.server.accept.assert_called_once_with(5, mock.ANY)
+            assert self.recorded_calls() == ["server.accept"]
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -187,18 +187,51 @@
         self.resources.callback(theirs.close)
         client = server.table.clients[1] = ClientConnection(1, ours)
         assert not server.answer(1, 202)  # No request is pending.
-        client.pending = True
-        assert server.answer(1, 202)
-        assert not server.answer(1, 202)  # The request has been answered.
-        client.pending = client.evicted = True  # The request was read after the eviction.
-        assert not server.answer(1, 202)
+        number = server.requests.add(client)
+        assert server.answer(number, 202)
+        assert not server.answer(number, 202)  # The request has been answered.
+        number = server.requests.add(client)
+        client.evicted = True  # The request was read after the eviction.
+        assert not server.answer(number, 202)
         assert client.close_after_answer
-        client.pending, client.evicted = True, False
+        number = server.requests.add(client)
+        client.evicted = False
         theirs.shutdown(socket.SHUT_WR)
-        assert not server.answer(1, 202)
+        assert not server.answer(number, 202)
         received = theirs.recv(1000)
         assert (received.count(b" 202 "), received.count(b" 503 ")) == (1, 2)
-        assert not server.answer(2, 202)
+        assert not server.answer(number + 1, 202)
+        assert len(server.requests) == 0
+
+    def test_a_message_is_journalled_before_its_answer_and_only_for_a_client_that_gets_it(self) -> None:
+        # Guards against a 202 that a kill makes void, and against a journalled message whose client was told 503.
+        server = self.resources.closing(Server(("127.0.0.1", 0), NAMES, 10, lambda _: None))
+        ours, theirs = socket.socketpair()
+        self.resources.callback(ours.close)
+        self.resources.callback(theirs.close)
+        client = ClientConnection(1, ours)
+        journalled: list[int] = []
+
+        def journal(number: int, is_written: bool = True) -> bool:
+            assert sockets.is_reusable(theirs)  # Nothing has been written to the client.
+            assert client.lock.locked()  # The connection's thread cannot reject the message.
+            journalled.append(number)
+            return is_written
+
+        number = server.requests.add(client)
+        assert server.accept(number, lambda: journal(1))
+        assert theirs.recv(1000).startswith(b"HTTP/1.1 202 ")
+        assert not server.accept(number, lambda: journal(2))  # The request has been answered.
+        number = server.requests.add(client)
+        assert not server.accept(number, lambda: journal(3, is_written=False))
+        answer = theirs.recv(1000)
+        assert answer.startswith(b"HTTP/1.1 503 ")
+        assert b"Retry-After: 1" in answer
+        number = server.requests.add(client)
+        theirs.shutdown(socket.SHUT_WR)
+        assert not server.accept(number, lambda: journal(4))
+        assert theirs.recv(1000).startswith(b"HTTP/1.1 503 ")
+        assert (journalled, len(server.requests)) == ([1, 3], 0)
 
     def test_a_connection_being_accepted_at_close_counts_as_a_client(self) -> None:
         # Guards against a reset of a connection that is accepted, but not yet in the client table, when the
@@ -234,7 +267,7 @@
         # Guards against a reset of a connection that was not accepted yet when the server closes.
         def refuse(event: Event) -> None:
             assert isinstance(event, MessageReceived)
-            server.answer(event.client, 503)
+            server.answer(event.request, 503)
 
         server = Server(("127.0.0.1", 0), NAMES, 10, refuse)
         server.stop()
@@ -261,8 +294,7 @@
         ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
         client = server.table.clients[1] = ClientConnection(1, ours)
         assert not client.write(b"x" * 1_000_000)
-        client.pending = True
-        assert not server.answer(1, 202)
+        assert not server.answer(server.requests.add(client), 202)
         theirs.settimeout(5.0)
         while theirs.recv(65536):
             pass
