Keep an answered call's connection out of reach of its cancellation

What could be seen: a call to an endpoint is reset in the middle, and its message, if it may run once only, is given up, though nothing is wrong with the endpoint. And a message whose 200 has been read counts as timed out.

Cause: a call keeps its socket until its thread has ended its work.

Change: with the answer, and under the lock of the gate, the call gives up its socket and becomes FINISHED; a cancellation or withdrawal then leaves the outcome to be posted. The cancellation shuts down the socket under the same lock.

The new test in test_net forces the order, and failed on the code before (WRITTEN in place of FINISHED).

--- a/juniperward/forwarder/active_call.py
+++ b/juniperward/forwarder/active_call.py
@@ -12,6 +12,7 @@
     """An attempt or a health check in flight; guarded by the lock of its client's `SendGate`.
 
     Attributes:
+        sock: The socket of the connection that the call has, which a cancellation shuts down; None without one.
         withdrawn: Numbers of the messages that must not be written.
     """
 
--- a/juniperward/forwarder/endpoint_client.py
+++ b/juniperward/forwarder/endpoint_client.py
@@ -103,16 +103,20 @@
                 self.free_threads -= 1
 
     def cancel(self, number: int) -> AttemptProgress:
-        """Cancel a call and return its progress; its connection is shut down and its result not posted."""
+        """Cancel a call and return its progress; its connection is shut down and its result not posted.
+
+        A call that has been answered is not cancelled: its progress is FINISHED, and its result is posted.
+        """
         with self.gate.lock:
-            call = self.active.pop(number, None)
-            if call is None:
+            call = self.active.get(number)
+            if call is None or call.progress is AttemptProgress.FINISHED:
                 return AttemptProgress.FINISHED
+            del self.active[number]
             call.cancelled = True
-            sock, progress = call.sock, call.progress
-        if sock is not None:
-            sockets.shutdown(sock)
-        return progress
+            if call.sock is not None:
+                # Under the lock: the call's thread may put the connection back, and another call may take it.
+                sockets.shutdown(call.sock)
+            return call.progress
 
     def withdraw(self, number: int, message: int) -> AttemptProgress:
         """Leave a message that has ended out of a call that still waits for its connection.
--- a/juniperward/forwarder/endpoint_connections.py
+++ b/juniperward/forwarder/endpoint_connections.py
@@ -13,6 +13,7 @@
 from juniperward.forwarder.answer_headers import read_retry_after
 from juniperward.forwarder.connection_pool import ConnectionPool
 from juniperward.forwarder.endpoint_connection import MIN_READ_TIMEOUT_S, EndpointConnection
+from juniperward.forwarder.model import AttemptProgress
 from juniperward.forwarder.send_gate import SendGate, route_of
 from juniperward.forwarder.telemetry import increment, log
 from juniperward.net import sockets
@@ -74,6 +75,8 @@
 
     def put_back(self, call: ActiveCall, connection: EndpointConnection) -> None:
         """Put back a connection on which nothing was sent."""
+        with self._gate.lock:
+            call.sock = None  # The next call on the connection must not be hit by a cancellation of this one.
         self._pool.put_back(call.effect.endpoint, connection)
 
     def release(self, call: ActiveCall, connection: EndpointConnection, answer: HttpResponse) -> None:
@@ -82,6 +85,11 @@
         The route is paused here and not when the loop handles the answer, since other threads may send calls
         until then. On a busy process that takes longer than the 100 ms that the protocol allows.
         """
+        with self._gate.lock:
+            call.sock = None
+            if not call.cancelled:
+                # From now on a cancellation is too late: the outcome counts.
+                call.progress = AttemptProgress.FINISHED
         if answer.close or call.cancelled or connection.stream.buffer:
             connection.close()
         else:
--- a/juniperward/forwarder/model.py
+++ b/juniperward/forwarder/model.py
@@ -68,7 +68,7 @@
     WAITING = "waits"  # Nothing is written: the attempt waits for a thread or a connection.
     WRITING = "writes"
     WRITTEN = "written"
-    FINISHED = "over"  # The outcomes were posted to the event queue.
+    FINISHED = "over"  # The answer was read; the outcomes were posted to the event queue, or soon will be.
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -14,7 +14,7 @@
 
 import pytest
 
-from juniperward.forwarder import client_connection, endpoint_connection
+from juniperward.forwarder import attempt_call, client_connection, endpoint_connection
 from juniperward.forwarder.active_call import ActiveCall
 from juniperward.forwarder.answer_headers import read_retry_after
 from juniperward.forwarder.answers import read_outcomes
@@ -386,6 +386,30 @@
             sock.close()
             assert self.outcome() is outcome
 
+    def test_a_cancellation_after_the_answer_does_not_reset_the_next_call_of_the_connection(self) -> None:
+        # Guards against a call that is reset because an answered call, which had its connection before, is given up.
+        may_finish = threading.Event()
+
+        def read_late(*arguments: Any) -> tuple[ItemOutcome, ...]:
+            assert may_finish.wait(5.0)
+            return read_outcomes(*arguments)
+
+        with mock.patch.object(attempt_call, "read_outcomes", read_late):
+            self.client.start(start_attempt(1, self.port))
+            sock = self.accept()
+            sock.recv(1000)
+            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            while not self.client.pool.idle:
+                time.sleep(0)
+            assert self.client.withdraw(1, 0) is AttemptProgress.FINISHED
+            assert self.client.cancel(1) is AttemptProgress.FINISHED
+            may_finish.set()
+            assert self.outcome() is Outcome.OK
+        self.client.start(start_attempt(2, self.port))
+        assert b"m0" in sock.recv(1000)
+        sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        assert self.outcome() is Outcome.OK
+
     def test_retry_after_pauses_its_route_before_the_loop_handles_the_answer(self) -> None:
         # Guards against calls that other threads send before the loop has paused the route.
         self.client.start(start_attempt(1, self.port))
