Answer a duplicate only once its first request has been answered

What callers could see: a message that was answered 202 is neither delivered nor notified. A client whose connection breaks sends its request once more on a new connection, under the same id. Where both requests reached the loop in one round, the second was answered 202 as a duplicate, although the first was then withdrawn, because its client was gone or its request had been rejected as overdue.

Cause: the message of a request that is being accepted counted as accepted, by its id alone.

Change: a duplicate of a message that is being accepted waits for the answer to the first request. If that was answered, it is answered 202; if not, the first duplicate is accepted in its place.

Found by reading. The new test in test_reducer fails on the code before (the 202 comes at once).

--- a/juniperward/forwarder/reducer/intake.py
+++ b/juniperward/forwarder/reducer/intake.py
@@ -59,10 +59,12 @@
         """Begin to accept a new message; reply at once to a duplicate, or to one that is rejected."""
         messages, message = self._round.state.messages, event.message
         self._completion.drop_completed_ids()
+        if messages.numbers.get(message.id) in messages.accepting:
+            # Whether this request is a duplicate is known once the earlier request has been answered.
+            messages.duplicates.setdefault(messages.numbers[message.id], []).append(event)
+            return
         if self._is_known(message.id):
-            # A client repeats a request if its connection was closed before the response arrived.
-            increment("duplicates_received")
-            self._round.emit(ReplyToClient(event.request, HttpStatus.ACCEPTED))
+            self._answer_duplicate(event)
             return
         reason = self._rejection(event)
         if reason is not None:
@@ -76,6 +78,11 @@
         record = AcceptedRecord(message, pending.expires_at, pending.executed_at)
         self._round.emit(AcceptMessage(event.request, pending.number, record))
 
+    def _answer_duplicate(self, event: MessageReceived) -> None:
+        """Answer a request for an accepted message; clients repeat one if its connection closed without an answer."""
+        increment("duplicates_received")
+        self._round.emit(ReplyToClient(event.request, HttpStatus.ACCEPTED))
+
     def _new_message(self, event: MessageReceived) -> PendingMessage:
         message = event.message
         client_deadline_at = event.received_at + message.time_left_s
@@ -110,13 +117,21 @@
         return "full" if expired or open_messages >= self._round.settings.max_open else None
 
     def message_accepted(self, number: int, client_answered: bool) -> None:
-        """Pass a journalled message to the scheduler; withdraw it if its client could not be answered."""
+        """Pass a journalled message to the scheduler; withdraw it if its client could not be answered.
+
+        Duplicates that have arrived meanwhile are answered alike, or the first of them is accepted in its place.
+        """
         messages = self._round.state.messages
+        duplicates = messages.duplicates.pop(number, [])
         if not client_answered:
             withdrawn = messages.withdraw(number)
             increment("messages_withdrawn")
             self._round.emit(AppendRecord(CompletedRecord(withdrawn.message.id)))
+            for duplicate in duplicates:
+                self.message_received(duplicate)
             return
+        for duplicate in duplicates:
+            self._answer_duplicate(duplicate)
         pending = messages.accept(number)
         increment("messages_accepted")
         check_invariant(len(messages.pending) <= self._round.settings.max_open, "pending_within_max_open")
--- a/juniperward/forwarder/state.py
+++ b/juniperward/forwarder/state.py
@@ -8,6 +8,7 @@
 
 from dataclasses import dataclass, field
 
+from juniperward.forwarder.events import MessageReceived
 from juniperward.forwarder.model import Endpoint, Message, OutcomeNotification, PastAttempt
 
 
@@ -80,11 +81,12 @@
     """The messages of this process; Intake adds and Completion removes them by the methods here.
 
     Bounds: `max_open` of the settings for `pending` and `accepting` together, MAX_COMPLETED_IDS for
-    `completed`.
+    `completed`, the connections of clients for `duplicates`.
 
     Attributes:
         pending: Accepted messages by number, in the order of acceptance.
         accepting: Messages by number whose clients have not been answered.
+        duplicates: Further requests with the id of an accepting message, by its number; written by Intake.
         numbers: The numbers of pending and accepting messages by message id.
         completed: When each message id was completed; written by Completion.
         sequence: The sequence of message numbers.
@@ -92,6 +94,7 @@
 
     pending: dict[int, PendingMessage] = field(default_factory=dict)
     accepting: dict[int, PendingMessage] = field(default_factory=dict)
+    duplicates: dict[int, list[MessageReceived]] = field(default_factory=dict)
     numbers: dict[str, int] = field(default_factory=dict)
     completed: dict[str, float] = field(default_factory=dict)
     sequence: NumberSequence = field(default_factory=NumberSequence)
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -147,6 +147,23 @@
         self.accept("a")
         assert self.reduce(MessageReceived(6, make_message("a"), self.now)) == [ReplyToClient(6, 202)]
 
+    def test_a_duplicate_is_accepted_in_place_of_a_request_whose_client_is_gone(self) -> None:
+        # Guards against a 202 for a message that is withdrawn, as the request before was not answered.
+        self.start()
+        message = make_message("a")
+        requests = [MessageReceived(number, message, self.now) for number in (5, 6, 7)]
+        (first,) = self.reduce(*requests)
+        assert isinstance(first, AcceptMessage)
+        assert first.request == 5
+        withdrawn, second = self.reduce(MessageAccepted(first.message, client_answered=False))
+        assert withdrawn == AppendRecord(CompletedRecord("a"))
+        assert isinstance(second, AcceptMessage)
+        assert second.request == 6
+        effects = self.reduce(MessageAccepted(second.message, client_answered=True))
+        assert self.of_type(effects, ReplyToClient) == [ReplyToClient(7, 202)]
+        assert self.attempted_ids(effects) == [["a"]]
+        assert self.reducer.state.messages.duplicates == {}
+
     def test_a_completed_message_is_not_accepted_again_within_its_deadline(self) -> None:
         # Guards against attempts for a duplicate of a delivered message.
         self.start()
