Reject another message under the id of a pending one instead of answering 202

What callers saw: a message answered 202 was never delivered, where another client had sent one under the same id just before.

Cause: a message was known by its id alone; its content was not looked at.

Change: a message whose id is pending or being accepted is a duplicate only if it is the same in all but its times. Another one is answered 503 and counted as `rejections_conflict`, so that its client may send it under a new id. Ids of messages that have ended are kept without their content: there the second message is still answered 202, which is left open (docs/design/crossings.md).

The new test in test_reducer fails on the code before (202 in place of 503).

--- a/juniperward/forwarder/model.py
+++ b/juniperward/forwarder/model.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 from juniperward.forwarder.stored_outcomes import StoredOutcome
@@ -38,6 +38,10 @@
     body: bytes
     executed_ago_s: float | None = None
 
+    def is_copy_of(self, other: Message) -> bool:
+        """Return whether both are the same message, whose times may differ as it was sent twice."""
+        return replace(self, time_left_s=other.time_left_s, executed_ago_s=other.executed_ago_s) == other
+
 
 @dataclass(frozen=True, slots=True)
 class Endpoint:
--- a/juniperward/forwarder/reducer/intake.py
+++ b/juniperward/forwarder/reducer/intake.py
@@ -57,13 +57,9 @@
 
     def message_received(self, event: MessageReceived) -> None:
         """Begin to accept a new message; reply at once to a duplicate, or to one that is rejected."""
-        messages, message = self._round.state.messages, event.message
+        messages, message_id = self._round.state.messages, event.message.id
         self._completion.drop_completed_ids()
-        if messages.numbers.get(message.id) in messages.accepting:
-            # Whether this request is a duplicate is known once the earlier request has been answered.
-            messages.duplicates.setdefault(messages.numbers[message.id], []).append(event)
-            return
-        if self._is_known(message.id):
+        if self._has_ended(message_id):
             self._answer_duplicate(event)
             return
         reason = self._rejection(event)
@@ -73,9 +69,19 @@
                 ReplyToClient(event.request, HttpStatus.SERVICE_UNAVAILABLE, ADMISSION_RETRY_AFTER_S)
             )
             return
+        known = messages.find(message_id)
+        if known is None:
+            self._begin_accepting(event)
+        elif known.number in messages.accepting:
+            # Whether this request is a duplicate is known once the earlier request has been answered.
+            messages.duplicates.setdefault(known.number, []).append(event)
+        else:
+            self._answer_duplicate(event)
+
+    def _begin_accepting(self, event: MessageReceived) -> None:
         pending = self._new_message(event)
-        messages.begin_accepting(pending)
-        record = AcceptedRecord(message, pending.expires_at, pending.executed_at)
+        self._round.state.messages.begin_accepting(pending)
+        record = AcceptedRecord(event.message, pending.expires_at, pending.executed_at)
         self._round.emit(AcceptMessage(event.request, pending.number, record))
 
     def _answer_duplicate(self, event: MessageReceived) -> None:
@@ -94,17 +100,17 @@
             pending.attempts = 1
         return pending
 
-    def _is_known(self, message_id: str) -> bool:
+    def _has_ended(self, message_id: str) -> bool:
         state = self._round.state
-        return (
-            message_id in state.messages.numbers
-            or message_id in state.unacknowledged
-            or message_id in state.messages.completed
-        )
+        return message_id in state.unacknowledged or message_id in state.messages.completed
 
     def _rejection(self, event: MessageReceived) -> str | None:
-        """Return the reason for a rejection, as a counter's suffix, or None if the message is accepted."""
+        """Return the reason for a rejection, as a counter's suffix, or None if the message is accepted or known."""
         state, message = self._round.state, event.message
+        known = state.messages.find(message.id)
+        if known is not None:
+            # A 202 to another message with the same id would lose it; its client may send it under a new id.
+            return None if message.is_copy_of(known.message) else "conflict"
         if message.id in state.fenced_redrives:
             return "fenced"
         if message.destination not in state.directory.destinations:
--- a/juniperward/forwarder/state.py
+++ b/juniperward/forwarder/state.py
@@ -99,6 +99,13 @@
     completed: dict[str, float] = field(default_factory=dict)
     sequence: NumberSequence = field(default_factory=NumberSequence)
 
+    def find(self, message_id: str) -> PendingMessage | None:
+        """Return the pending or accepting message with an id, or None."""
+        number = self.numbers.get(message_id)
+        if number is None:
+            return None
+        return self.accepting.get(number) or self.pending[number]
+
     def begin_accepting(self, pending: PendingMessage) -> None:
         """Add a message whose client has not been answered."""
         self.accepting[pending.number] = pending
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -48,6 +48,7 @@
 )
 from juniperward.forwarder.reducer import Reducer
 from juniperward.forwarder.reducer.completion import MAX_COMPLETED_IDS
+from juniperward.forwarder.reducer.intake import ADMISSION_RETRY_AFTER_S
 from juniperward.scheduler.events import EndpointPhase, Outcome
 from juniperward.scheduler.settings import DestinationKind
 from tests.helpers import NON_IDEMPOTENT, WITH_IDEMPOTENCY_KEY, settings
@@ -164,6 +165,23 @@
         assert self.attempted_ids(effects) == [["a"]]
         assert self.reducer.state.messages.duplicates == {}
 
+    def test_another_message_with_the_id_of_a_pending_one_is_rejected(self) -> None:
+        # Guards against a 202 for a message that is not kept, as another client has sent one under its id before.
+        self.start()
+        other = make_message("a", body=b"another body")
+        (accept, *replies) = self.reduce(
+            MessageReceived(5, make_message("a"), self.now),
+            MessageReceived(6, other, self.now),
+            MessageReceived(7, make_message("a", time_left_s=19.9), self.now),
+        )
+        assert isinstance(accept, AcceptMessage)
+        assert replies == [ReplyToClient(6, 503, ADMISSION_RETRY_AFTER_S)]
+        effects = self.reduce(MessageAccepted(accept.message, client_answered=True))
+        assert self.of_type(effects, ReplyToClient) == [ReplyToClient(7, 202)]
+        for changed in (other, make_message("a", class_index=1), make_message("a", destination=2)):
+            effects = self.reduce(MessageReceived(8, changed, self.now))
+            assert effects == [ReplyToClient(8, 503, ADMISSION_RETRY_AFTER_S)]
+
     def test_a_completed_message_is_not_accepted_again_within_its_deadline(self) -> None:
         # Guards against attempts for a duplicate of a delivered message.
         self.start()
