Do not take a second answer of the platform for that of the next notification

What could be seen: a message's outcome never reaches the platform, though it counts as acknowledged: the message is lost.

Cause: the connection to the platform looked at its socket before the next request, not at the bytes that had been read with the last answer. A second 204 behind the first, read in one piece with it, acknowledged the next notification, whatever became of it.

Change: a connection with bytes behind its last answer is not used again.

Found by reading, among the paths on which an answer can be taken for that of another request. The new test in test_notifications fails on the code before: m1 is acknowledged and never accepted.

--- a/juniperward/forwarder/platform_connection.py
+++ b/juniperward/forwarder/platform_connection.py
@@ -42,8 +42,11 @@
         self._host = format_address(connected)
 
     def is_reusable(self) -> bool:
-        """Return whether another request may be sent on this connection."""
-        return sockets.is_reusable(self._sock)
+        """Return whether another request may be sent on this connection.
+
+        Bytes after the last response would be taken for the response to that request.
+        """
+        return not self._stream.buffer and sockets.is_reusable(self._sock)
 
     def post(self, body: bytes) -> HttpResponse:
         """Post a body of encoded notifications and return the response.
--- a/tests/test_notifications.py
+++ b/tests/test_notifications.py
@@ -90,6 +90,20 @@
         threading.Thread(target=drip, daemon=True).start()
         assert events.get(timeout=5.0) == NotificationAcknowledged(("m0",))
 
+    def test_a_second_answer_to_a_request_does_not_acknowledge_the_next_one(self) -> None:
+        # Guards against an outcome that counts as notified by an answer that was sent before it.
+        platform = self.resources.closing(Platform(OK + OK))
+        events: queue.Queue[Event] = queue.Queue()
+        client = DiscoveryClient(
+            platform.listener.getsockname(), SettingsNames((), (), (), (), ()), events.put
+        )
+        client.start()
+        for name in ("m0", "m1"):
+            client.notify((OutcomeNotification(name),))
+            assert events.get(timeout=5.0) == NotificationAcknowledged((name,))
+        # This platform accepts a notification only on a connection where it answers once.
+        assert platform.accepted_ids == {"m1"}
+
     def test_every_notification_arrives_over_failing_connections(self) -> None:
         # The connections are closed after a request, never answered, answered in part, and answered with 503.
         platform = self.resources.closing(
