Send an order to the process it was meant for, not to the instance's next one

What could be seen: an instance that was restarted right after a drain was ordered stays drained: it rejects all messages, and nobody resumes it, as no drain of it is on record.

Cause: an order to drain or resume was queued for the instance by its name. A watcher that waits up to a second for an instance which does not answer sent the order to whatever process it watched afterwards.

Change: an order names its process, as signals do; the watcher polls the status in its place if it watches another process by then.

Found by reading, among the paths that are identified by less than the request they belong to. The new test in test_agent_parts fails on the code before (the drain goes to the new process). Left: an order whose connection breaks while it is sent is tried once more on a new connection, which may be one to the next process; the process id in its answer is compared only afterwards.

--- a/juniperward/agent/effect_executor.py
+++ b/juniperward/agent/effect_executor.py
@@ -60,8 +60,8 @@
                 return self._spawn(effect)
             case SendSignal():
                 self._signal(effect)
-            case SendOrder(name=name, verb=verb):
-                self._watcher(name).send_order(verb)
+            case SendOrder(name=name, process=process, verb=verb):
+                self._watcher(name).send_order(verb, process)
             case WatchInstance(name=name, process=process):
                 self._watcher(name).watch(process)
             case ReplyToClient(client=client, response=response):
--- a/juniperward/agent/effects.py
+++ b/juniperward/agent/effects.py
@@ -36,9 +36,10 @@
 
 @dataclass(frozen=True, slots=True)
 class SendOrder:
-    """Send an order (drain or resume) on the control channel of an instance."""
+    """Send an order (drain or resume) to a process on its control channel; a later process gets none."""
 
     name: str
+    process: Process
     verb: str
 
 
--- a/juniperward/agent/reducer/instance_orders.py
+++ b/juniperward/agent/reducer/instance_orders.py
@@ -80,5 +80,5 @@
             return
         drain = command is RollCommand.DRAIN
         self._round.put(replace(instance, drain_requested=drain))
-        self._round.emit(SendOrder(instance.name, command.value))
+        self._round.emit(SendOrder(instance.name, instance.process, command.value))
         self._round.log("drain ordered" if drain else "resume ordered", {"instance": instance.name})
--- a/juniperward/agent/reducer/supervisor.py
+++ b/juniperward/agent/reducer/supervisor.py
@@ -37,8 +37,8 @@
         elif should_kill(instance, round_.now, state.rules.timeouts):
             round_.log("stop timed out", {"instance": instance.name}, "warning")
             self._orders.kill(instance)
-        elif _serves_despite_drain(instance):
-            round_.emit(SendOrder(instance.name, RollCommand.DRAIN.value))
+        elif instance.process is not None and _serves_despite_drain(instance):
+            round_.emit(SendOrder(instance.name, instance.process, RollCommand.DRAIN.value))
 
 
 def _started_by_roll(roll: Roll | None, instance: Instance) -> bool:
--- a/juniperward/agent/watch.py
+++ b/juniperward/agent/watch.py
@@ -6,6 +6,7 @@
 import threading
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 from pathlib import Path
 
 from juniperward.agent import processes
@@ -23,6 +24,14 @@
 UNANSWERED_POLL_INTERVAL_S = 0.05
 
 
+@dataclass(frozen=True, slots=True)
+class ProcessOrder:
+    """An order to one process of an instance."""
+
+    verb: Verb
+    process: Process
+
+
 class Watcher:
     """Watches one instance on a thread of its own.
 
@@ -37,7 +46,7 @@
         """Poll the control socket at `path` every `interval_s` seconds; pass events to `post`."""
         self.name, self.interval_s, self.post = name, interval_s, post
         self.client = ControlClient(path, ANSWER_TIMEOUT_S)
-        self.orders: queue.SimpleQueue[str | None] = queue.SimpleQueue()
+        self.orders: queue.SimpleQueue[ProcessOrder | None] = queue.SimpleQueue()
         self.process: Process | None = None
         self.unanswered_since: float | None = None
         self.reported_exit: Process | None = None
@@ -52,9 +61,9 @@
         self.process, self.unanswered_since = process, None
         self.orders.put(None)
 
-    def send_order(self, verb: str) -> None:
-        """Queue an order, sent in place of the next poll of the status."""
-        self.orders.put(verb)
+    def send_order(self, verb: str, process: Process) -> None:
+        """Queue an order, sent in place of the next poll of the status unless another process is watched then."""
+        self.orders.put(ProcessOrder(Verb(verb), process))
 
     def _run(self) -> None:
         while not self.ended:
@@ -76,9 +85,12 @@
                 self.reported_exit = process
                 self.post(ProcessExited(self.name, process, exit_reason))
             return
-        self._poll(process, Verb(order) if order else Verb.STATUS)
+        if order is not None and order.process == process:
+            self._poll(process, order.verb)
+        else:
+            self._poll(process, Verb.STATUS)
 
-    def _next_order(self) -> str | None:
+    def _next_order(self) -> ProcessOrder | None:
         """Wait for the next order; return None when a poll is due or another process is to be watched."""
         unanswered = self.process is not None and self.unanswered_since is not None
         try:
--- a/tests/agent_world.py
+++ b/tests/agent_world.py
@@ -178,9 +178,9 @@
                         self.exit_process(name, "signal 9")
                     elif name not in self.ignoring_sigterm and forwarder.sigterm_at is None:
                         forwarder.sigterm_at = self.now
-            case SendOrder(name=name, verb=verb):
+            case SendOrder(name=name, process=process, verb=verb):
                 forwarder = self.forwarders.get(name)
-                if forwarder is not None and not forwarder.suspended:
+                if forwarder is not None and forwarder.process == process and not forwarder.suspended:
                     forwarder.drained = verb == "drain"
             case WatchInstance(name=name, process=watched):
                 self.watched[name] = watched
--- a/tests/test_agent_parts.py
+++ b/tests/test_agent_parts.py
@@ -22,6 +22,9 @@
 from juniperward.agent.replies import ErrorReply
 from juniperward.agent.state import PersistentState
 from juniperward.agent.store import StateStore
+from juniperward.agent.watch import Watcher
+from juniperward.control.errors import ControlRejectedError
+from juniperward.control.protocol import Verb
 from juniperward.fleet.model import DesiredState, Instance, Process
 from juniperward.settings.load import load
 from tests.test_settings import GOOD
@@ -142,6 +145,25 @@
             self.assertEqual(launcher.tail("none", 5), [])
 
 
+class WatcherTest(unittest.TestCase):
+    def test_an_order_to_a_process_is_not_sent_to_the_next_one(self) -> None:
+        # Guards against a new process that is drained by an order to the one before it, and is never resumed.
+        earlier, current = Process(101, 1), Process(102, 2)
+        watcher = Watcher("n1", Path("control"), 60.0, lambda _: None)
+        with (
+            mock.patch.object(watcher, "client") as client,
+            mock.patch.object(processes, "reap", return_value=None),
+        ):
+            client.status.side_effect = client.order.side_effect = ControlRejectedError("no")
+            watcher.watch(earlier)
+            watcher.send_order("drain", earlier)
+            watcher.watch(current)
+            watcher.send_order("resume", current)
+            for _ in range(4):
+                watcher._round()
+        self.assertEqual(client.order.mock_calls, [mock.call(Verb.RESUME)])
+
+
 class ApiTest(unittest.TestCase):
     def setUp(self) -> None:
         folder = tempfile.TemporaryDirectory()
