Set a client connection's receive timeout at each read

Cause: SO_RCVTIMEO was set a little longer than needed and kept while it was close enough, which saved a system call for most reads and has no other reason. It cost two constants, a field and a condition, and a read could end 0.07 s late.

Change: the timeout is the time that is left, set at each read, as DeadlineReader does it.

--- a/juniperward/forwarder/client_connection.py
+++ b/juniperward/forwarder/client_connection.py
@@ -25,10 +25,6 @@
 LINGER_TIMEOUT_S = 0.2
 MAX_LINGER_BYTES = 262144
 READ_BYTES = 16384
-# SO_RCVTIMEO is set to a little more than the remaining time, and is set again only when it differs too much from
-# that. This avoids a system call for most reads.
-KERNEL_TIMEOUT_MARGIN_S = 0.02
-KERNEL_TIMEOUT_TOLERANCE_S = 0.05
 
 
 class ClientConnection:
@@ -60,16 +56,13 @@
         self.evicted = False
         self.idle_since = time.monotonic()
         self.read_deadline = self.idle_since + FIRST_REQUEST_TIMEOUT_S
-        self._kernel_timeout_s = 0.0
 
     def receive(self, size: int) -> bytes:
         """Return the next bytes, empty at end of input; raises TimeoutError or BlockingIOError at `read_deadline`."""
         remaining_s = self.read_deadline - time.monotonic()
         if remaining_s <= 0:
             raise TimeoutError
-        if not remaining_s <= self._kernel_timeout_s <= remaining_s + KERNEL_TIMEOUT_TOLERANCE_S:
-            self._kernel_timeout_s = remaining_s + KERNEL_TIMEOUT_MARGIN_S
-            sockets.set_timeout(self.sock, socket.SO_RCVTIMEO, self._kernel_timeout_s)
+        sockets.set_timeout(self.sock, socket.SO_RCVTIMEO, remaining_s)
         return self.sock.recv(size)
 
     def write(self, data: bytes) -> bool:
