Set an endpoint connection's receive timeout at each read

Cause: the longest read was set on the socket when it was connected, and a flag kept track of whether a shorter limit had taken its place, so that most reads made one system call less. The flag has no other reason.

Change: the time limit of a read is worked out and set in one place, at each read.

--- a/juniperward/forwarder/endpoint_connection.py
+++ b/juniperward/forwarder/endpoint_connection.py
@@ -28,14 +28,13 @@
     def __init__(
         self, sock: socket.socket, address: tuple[str, int], read_timeout_s: float = MIN_READ_TIMEOUT_S
     ) -> None:
-        """Use a connected socket whose receive timeout in the kernel is `read_timeout_s`."""
+        """Use a connected socket; a read takes `read_timeout_s` at most where no deadline is set."""
         self.sock, self.address, self.read_timeout_s = sock, address, read_timeout_s
         self.stream = Stream(self._receive)
         self.idle_since = time.monotonic()
         self.reused = False
         self.transfer_deadline: float | None = None
         self.answer_deadline: float | None = None
-        self._has_short_timeout = False
 
     def set_answer_begun(self, begun: bool) -> None:
         """Start the time limit for the transfer of an answer, or clear it while no answer has begun."""
@@ -50,13 +49,8 @@
         deadlines = [
             deadline for deadline in (self.transfer_deadline, self.answer_deadline) if deadline is not None
         ]
-        if deadlines:
-            remaining_s = min(deadlines) - time.monotonic()
-            if remaining_s <= 0:
-                raise TimeoutError
-            sockets.set_timeout(self.sock, socket.SO_RCVTIMEO, remaining_s)
-            self._has_short_timeout = True
-        elif self._has_short_timeout:
-            sockets.set_timeout(self.sock, socket.SO_RCVTIMEO, self.read_timeout_s)
-            self._has_short_timeout = False
+        timeout_s = min(deadlines) - time.monotonic() if deadlines else self.read_timeout_s
+        if timeout_s <= 0:
+            raise TimeoutError
+        sockets.set_timeout(self.sock, socket.SO_RCVTIMEO, timeout_s)
         return self.sock.recv(size)
--- a/juniperward/forwarder/endpoint_connections.py
+++ b/juniperward/forwarder/endpoint_connections.py
@@ -59,7 +59,6 @@
             sockets.connect(*address, remaining_s, sock)
             # Replace the timeout of this dial, which would also limit later writes on the connection.
             sockets.set_timeout(sock, socket.SO_SNDTIMEO, self.dial_timeout_s)
-            sockets.set_timeout(sock, socket.SO_RCVTIMEO, self.read_timeout_s)
         except OSError as error:
             sock.close()
             increment("dials_failed")
