Run two client threads at once, so that floods leave the interpreter to the loop

Cause: each connection has a thread, the interpreter runs one thread at a time, and nothing bounded how many client threads were ready to run. Beside up to 124 of them the loop waited for all at each of its system calls.

Change: a thread of a client holds one of two slots while it runs, and gives it back for each call that may block. `timers_late` counts timers over 0.1 s late.

test_client_concurrency: of ten client threads with a whole request nine decode at once on the code before, two now; the other tests hold that threads which block or fail keep no slot.

--- a/juniperward/forwarder/client_session.py
+++ b/juniperward/forwarder/client_session.py
@@ -2,6 +2,8 @@
 
 A message is posted to the reducer as `MessageReceived` with the number of its request, and the loop writes its answer
 (`server.py`). All other requests, and messages that the reducer does not answer in time, are answered here.
+
+Only MAX_RUNNING_THREADS of these threads run at once; the others block, or wait for a slot.
 """
 
 from __future__ import annotations
@@ -17,6 +19,7 @@
     ClientConnection,
 )
 from juniperward.forwarder.codec import MESSAGE_PATH, UnreadableMessageError, decode_message, encode_reply
+from juniperward.forwarder.concurrency_limit import ConcurrencyLimit
 from juniperward.forwarder.events import Event, MessageReceived
 from juniperward.forwarder.health_page import answer_page
 from juniperward.forwarder.pending_requests import PendingRequests
@@ -39,6 +42,8 @@
 # The Retry-After of rejections that are not made by the reducer.
 RETRY_AFTER_S = 1.0
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# While one thread is in a system call, another one can run.
+MAX_RUNNING_THREADS = 2
 
 
 @dataclass(slots=True)
@@ -69,10 +74,15 @@
     ) -> None:
         """Decode messages with the names of the settings, and submit them to the reducer with `post`."""
         self._names, self._state, self._requests, self._post = names, state, requests, post
+        self._limit = ConcurrencyLimit(MAX_RUNNING_THREADS)
 
     def serve(self, client: ClientConnection) -> None:
         """Answer requests until the connection ends; the caller closes the socket."""
-        stream = Stream(client.receive)
+        with self._limit:
+            self._serve(client)
+
+    def _serve(self, client: ClientConnection) -> None:
+        stream = Stream(lambda size: self._receive(client, size))
         try:
             while self._serve_next(client, stream):
                 pass
@@ -88,14 +98,14 @@
         """Read one request and wait until it is answered; return whether the connection stays open."""
         self._wait_for_request(client, stream)
         try:
-            request = read_request(stream, lambda: client.sock.sendall(CONTINUE))
+            request = read_request(stream, lambda: self._send_continue(client))
         except MalformedMessageError as error:
             increment("requests_malformed")
-            _reject(client, error.status, str(error))
+            self._reject(client, error.status, str(error))
             return False
         except MessageTimeoutError:
             increment("requests_timed_out")
-            _reject(client, HttpStatus.REQUEST_TIMEOUT, "the call was not whole in time")
+            self._reject(client, HttpStatus.REQUEST_TIMEOUT, "the call was not whole in time")
             return False
         received_at = time.monotonic()
         client.served = True
@@ -106,7 +116,7 @@
             ready = self._state.ready and not self._state.stopping
             client.write(answer_page(request, ready, request.close or self._state.stopping))
         if request.close or client.close_after_answer or self._state.stopping:
-            client.linger()
+            self._linger(client)
             return False
         return True
 
@@ -120,7 +130,7 @@
             client.idle_since = time.monotonic()
             client.read_deadline = client.idle_since + IDLE_TIMEOUT_S
         while not stream.buffer:
-            stream.buffer += _receive_first(client)
+            stream.buffer += self._receive_first(client)
         with client.lock:
             client.idle = False
         if client.served or not self._state.stopping:
@@ -136,7 +146,9 @@
             client.write(encode_reply(HttpStatus.BAD_REQUEST, 0.0, close, str(error)))
             return
         self._post(MessageReceived(self._requests.add(client), message, received_at))
-        if client.answered.wait(ANSWER_TIMEOUT_S):
+        with self._limit.blocking:
+            answered = client.answered.wait(ANSWER_TIMEOUT_S)
+        if answered:
             return
         with client.lock:
             if client.pending_request is None:
@@ -147,24 +159,36 @@
             close = request.close or self._state.stopping
             client.write(encode_reply(HttpStatus.SERVICE_UNAVAILABLE, RETRY_AFTER_S, close))
 
+    def _reject(self, client: ClientConnection, status: int, text: str) -> None:
+        """Reject a request that cannot be read, and prepare the connection for its close."""
+        client.write(encode_reply(status, 0.0, True, text))
+        self._linger(client)
+
+    def _receive_first(self, client: ClientConnection) -> bytes:
+        """Return the first bytes of a request; raises ConnectionClosedError at end of input or the time limit."""
+        try:
+            data = self._receive(client, READ_BYTES)
+        except (BlockingIOError, TimeoutError):
+            increment("clients_idle" if client.served else "clients_without_request")
+            # A request may arrive now; closing with it unread would reset the connection.
+            self._linger(client)
+            raise ConnectionClosedError from None
+        except ConnectionError as error:
+            raise ConnectionClosedError from error
+        if not data:
+            raise ConnectionClosedError
+        return data
+
+    # --- calls that may block ---------------------------------------------------------------------------
+
+    def _receive(self, client: ClientConnection, size: int) -> bytes:
+        with self._limit.blocking:
+            return client.receive(size)
 
-def _reject(client: ClientConnection, status: int, text: str) -> None:
-    """Reject a request that cannot be read, and prepare the connection for its close."""
-    client.write(encode_reply(status, 0.0, True, text))
-    client.linger()
-
-
-def _receive_first(client: ClientConnection) -> bytes:
-    """Return the first bytes of a request; raises ConnectionClosedError at end of input or after the time limit."""
-    try:
-        data = client.receive(READ_BYTES)
-    except (BlockingIOError, TimeoutError):
-        increment("clients_idle" if client.served else "clients_without_request")
-        # A request may arrive now; closing with it unread would reset the connection.
-        client.linger()
-        raise ConnectionClosedError from None
-    except ConnectionError as error:
-        raise ConnectionClosedError from error
-    if not data:
-        raise ConnectionClosedError
-    return data
+    def _send_continue(self, client: ClientConnection) -> None:
+        with self._limit.blocking:
+            client.sock.sendall(CONTINUE)
+
+    def _linger(self, client: ClientConnection) -> None:
+        with self._limit.blocking:
+            client.linger()
--- a/juniperward/forwarder/event_queue.py
+++ b/juniperward/forwarder/event_queue.py
@@ -7,8 +7,11 @@
 import time
 
 from juniperward.forwarder.events import Event, TimerEvent
+from juniperward.forwarder.telemetry import increment
 
 MAX_EVENTS_PER_ROUND = 500
+# A timer that fires later than this is counted: the loop is overloaded, or gets too little of the processor.
+MAX_TIMER_DELAY_S = 0.1
 
 
 class EventQueue:
@@ -48,5 +51,8 @@
         """Remove the expired timers and return their events, the earliest first."""
         events: list[Event] = []
         while self._timers and self._timers[0][0] <= now:
-            events.append(heapq.heappop(self._timers)[2])
+            at, _, event = heapq.heappop(self._timers)
+            if now - at > MAX_TIMER_DELAY_S:
+                increment("timers_late")
+            events.append(event)
         return events
--- /dev/null
+++ b/tests/test_client_concurrency.py
@@ -0,0 +1,117 @@
+"""Only a few of the threads that serve clients run at once; those that block do not count."""
+
+from __future__ import annotations
+
+import socket
+import threading
+import time
+
+import pytest
+
+from juniperward.forwarder import client_session
+from juniperward.forwarder.codec import UnreadableMessageError
+from juniperward.forwarder.concurrency_limit import ConcurrencyLimit
+from juniperward.forwarder.server import Server
+from juniperward.net import sockets
+from juniperward.net.http_responses import read_response
+from juniperward.net.stream import Stream
+from tests.player import WAIT_S
+from tests.resources import Resources
+from tests.test_client_faults import NAMES, request, reset_on_close
+
+CONNECTIONS = 5 * client_session.MAX_RUNNING_THREADS
+HEALTH_REQUEST = b"GET /health/live HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+class SlowDecoder:
+    """A decoder of messages that rejects each one, but only once `may_finish` is set; counts its callers."""
+
+    def __init__(self) -> None:
+        self.may_finish = threading.Event()
+        self.running = 0
+        self.most_running = 0
+        self._lock = threading.Lock()
+
+    def __call__(self, *_arguments: object) -> None:
+        with self._lock:
+            self.running += 1
+            self.most_running = max(self.most_running, self.running)
+        self.may_finish.wait(WAIT_S)
+        with self._lock:
+            self.running -= 1
+        raise UnreadableMessageError("x-service-class", "unknown")
+
+
+class TestClientConcurrency:
+    @pytest.fixture(autouse=True)
+    def set_up(self, resources: Resources) -> None:
+        self.resources = resources
+        self.server = Server(("127.0.0.1", 0), NAMES, 4 * CONNECTIONS, lambda _: None)
+        self.server.start()
+        self.resources.callback(self.server.close)
+
+    def connect(self, sent: bytes) -> socket.socket:
+        """Open a connection and send the given bytes."""
+        sock = socket.create_connection(self.server.listener.getsockname(), WAIT_S)
+        self.resources.callback(sock.close)
+        sock.sendall(sent)
+        return sock
+
+    def wait_until_read(self, connections: int) -> None:
+        """Wait until the server has accepted the connections and read what they sent."""
+        until = time.monotonic() + WAIT_S
+        while time.monotonic() < until:
+            clients = self.server.table.all()
+            if len(clients) == connections and all(sockets.is_reusable(client.sock) for client in clients):
+                return
+            time.sleep(0)
+        pytest.fail("the server has not read the requests")
+
+    def is_answered(self) -> bool:
+        """Return whether a further client gets an answer."""
+        return read_response(Stream(self.connect(HEALTH_REQUEST).recv)).status == 200
+
+    def test_few_client_threads_run_at_once(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        # Guards against a loop that waits for the interpreter behind hundreds of client threads.
+        decoder = SlowDecoder()
+        monkeypatch.setattr(client_session, "decode_message", decoder)
+        socks = [self.connect(HEALTH_REQUEST) for _ in range(CONNECTIONS)]
+        streams = [Stream(sock.recv) for sock in socks]
+        assert [read_response(stream).status for stream in streams] == [200] * CONNECTIONS
+        for number, sock in enumerate(socks):
+            sock.sendall(request(f"m{number}"))
+        self.wait_until_read(CONNECTIONS)
+        until = time.monotonic() + WAIT_S
+        while decoder.running < client_session.MAX_RUNNING_THREADS and time.monotonic() < until:
+            time.sleep(0)
+        assert decoder.most_running == client_session.MAX_RUNNING_THREADS
+        decoder.may_finish.set()
+        assert [read_response(stream).status for stream in streams] == [400] * CONNECTIONS
+        assert decoder.most_running == client_session.MAX_RUNNING_THREADS
+
+    def test_clients_that_are_waited_for_do_not_delay_others(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        # Guards against slow clients, or messages without an answer, that keep all others from being served.
+        monkeypatch.setattr(client_session, "ANSWER_TIMEOUT_S", WAIT_S)
+        for number in range(CONNECTIONS):
+            self.connect(request(f"m{number}")[:50])
+            self.connect(request(f"n{number}"))
+        self.wait_until_read(2 * CONNECTIONS)
+        assert self.is_answered()
+
+    def test_broken_connections_do_not_delay_others(self) -> None:
+        # Guards against threads that end with an error and keep others from running.
+        for number in range(CONNECTIONS):
+            sock = self.connect(request(f"m{number}")[:50])
+            self.connect(b"nonsense\r\n\r\n")
+            reset_on_close(sock)
+            sock.close()
+        assert self.is_answered()
+
+
+def test_a_slot_is_free_again_after_an_error() -> None:
+    limit = ConcurrencyLimit(1)
+    for _ in range(3):
+        with pytest.raises(ValueError, match="work"), limit:
+            raise ValueError("work")
+        with pytest.raises(ValueError, match="call"), limit, limit.blocking:
+            raise ValueError("call")
