Let eight client threads run at once, as two cost latency without a flood

Cause: with two, a thread whose request was answered waits for a slot before it can read the next one, also where only a few threads are ready.

Change: MAX_RUNNING_THREADS is 8.

--- a/juniperward/forwarder/client_session.py
+++ b/juniperward/forwarder/client_session.py
@@ -42,8 +42,8 @@
 # The Retry-After of rejections that are not made by the reducer.
 RETRY_AFTER_S = 1.0
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-# While one thread is in a system call, another one can run.
-MAX_RUNNING_THREADS = 2
+# At each of its system calls, the loop waits for the interpreter behind at most this number of client threads.
+MAX_RUNNING_THREADS = 8
 
 
 @dataclass(slots=True)
