--- a/juniperward/forwarder/endpoint_client.py
+++ b/juniperward/forwarder/endpoint_client.py
@@ -114,7 +114,7 @@
             del self.active[number]
             call.cancelled = True
             if call.sock is not None:
-                # Under the lock: the call's thread may put the connection back, and another call may take it.
+                # The lock is held, as the call's thread may put the connection back, and another call take it.
                 sockets.shutdown(call.sock)
             return call.progress
 
--- a/juniperward/forwarder/endpoint_connections.py
+++ b/juniperward/forwarder/endpoint_connections.py
@@ -87,7 +87,7 @@
         with self._gate.lock:
             call.sock = None
             if not call.cancelled:
-                # From now on a cancellation is too late: the outcome counts.
+                # A cancellation is too late from now on: the outcome counts.
                 call.progress = AttemptProgress.FINISHED
         if answer.close or call.cancelled or connection.stream.buffer:
             connection.close()
