--- a/juniperward/forwarder/client_connection.py
+++ b/juniperward/forwarder/client_connection.py
@@ -21,7 +21,7 @@
 # The time limit from an answer to the first byte of the next request.
 IDLE_TIMEOUT_S = 10.0
 # Before a connection is closed, unread input is discarded within these limits. A close with unread input resets the
-# connection, and the client may lose the answer.
+# connection, and the client may lose the answer. The number of bytes is limited, as some clients send 60 MB.
 LINGER_TIMEOUT_S = 0.2
 MAX_LINGER_BYTES = 262144
 READ_BYTES = 16384
--- a/juniperward/forwarder/reducer/attempts.py
+++ b/juniperward/forwarder/reducer/attempts.py
@@ -209,7 +209,8 @@
             # A message cannot be removed from a partly written request, so the whole attempt is cancelled.
             self.cancel(event.attempt_number)
         elif event.progress is AttemptProgress.WRITTEN:
-            # The messages share one response, which must arrive before the first client deadline among them.
+            # The messages share one response, which must arrive before the first client deadline among them:
+            # a later one counts for none of them.
             self._round.emit(SetTimer(cancel_at, CancellationTimerFired(event.attempt_number)))
 
     def cancel(self, attempt_number: int) -> None:
--- a/juniperward/forwarder/reducer/intake.py
+++ b/juniperward/forwarder/reducer/intake.py
@@ -27,8 +27,9 @@
 
 ADMISSION_RETRY_AFTER_S = 1.0
 # A message expires this long before its client's deadline, to leave time for the notification, also if the
-# clock runs ahead just after the process started. If the deadline is short, the margin is a fraction of the
-# time until it; this fraction must be less than 1 - MIN_ATTEMPT_TIME_FRACTION.
+# clock runs ahead just after the process started: one was seen 0.2 to 1.1 s ahead of the others'. If the
+# deadline is short, the margin is a fraction of the time until it; this fraction must be less than
+# 1 - MIN_ATTEMPT_TIME_FRACTION.
 MAX_NOTIFICATION_MARGIN_S = 0.3
 NOTIFICATION_MARGIN_FRACTION = 0.2
 # A notification that was due during the downtime is not late until 1.5 s after the process is ready again.
--- a/juniperward/forwarder/start.py
+++ b/juniperward/forwarder/start.py
@@ -33,7 +33,8 @@
 if TYPE_CHECKING:
     from juniperward.control.server import ControlServer
 
-THREAD_STACK_BYTES = 128 * 1024  # A small stack limits the memory of hundreds of threads.
+# A small stack limits the memory of hundreds of threads; docs/bounds.md says how small it may be.
+THREAD_STACK_BYTES = 128 * 1024
 SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP}
 # The platform sends SIGKILL 3.7 s after SIGTERM; the process must exit before.
 SHUTDOWN_TIMEOUT_S = 3.3
--- a/juniperward/scheduler/outlier_detection.py
+++ b/juniperward/scheduler/outlier_detection.py
@@ -39,7 +39,7 @@
         attempt.outcome_recorded = finished.outcome is not Outcome.NOT_SENT
         if finished.outcome not in NON_FAILURE_OUTCOMES:
             # The expected slot time was charged at the start. A failure that took longer is charged the
-            # excess, and a quicker one gets no refund.
+            # excess, and a quicker one gets no refund: a destination must not gain slot time by quick errors.
             normal_s = self._latency.expected_s(self._backlog.messages[finished.message])
             attempt.endpoint.destination.deficit_s -= max(0.0, finished.latency_s - normal_s)
         self.record_outcome(attempt.endpoint, finished, attempt.sent_at)
@@ -125,7 +125,7 @@
         """Count a fault, and eject or stagger the route in a large fleet without a recent delivery.
 
         If each of many forwarders waited for several failures, their calls together would overload a
-        recovering destination.
+        recovering destination; docs/design/at-size.md says why.
         """
         route = endpoint.route
         settings = self._settings
--- a/juniperward/scheduler/tuning.py
+++ b/juniperward/scheduler/tuning.py
@@ -3,6 +3,9 @@
 The suffix of a name gives the unit: `_S` is seconds, `_PER_S` is calls a second, `_SPANS` is a number of
 overload spans. `_FACTOR` and `_FRACTION` multiply another value. `_JITTER_FACTORS` are the bounds of a random
 factor that spreads the calls of many forwarders over time.
+
+HEALTHY_SLOT_FRACTION, SLOW_OR_EJECTED_SLOT_FRACTION, IDLE_EXPIRY_S, RATE_CUT_FACTOR, MIN_TOTAL_RATE_PER_S and
+RATE_INCREASE_PER_S are figures of docs/design.md.
 """
 
 # Deficit round robin and slots
@@ -24,7 +27,7 @@
 # Admission and retries
 
 # A message with attempts left, which has surely not been executed, is not given up before this fraction of
-# its time has passed.
+# its time has passed. The operators' terms give the value.
 MIN_ATTEMPT_TIME_FRACTION = 0.7
 # Load is shed above this fraction of `max_open`, so that the caller does not have to reject messages itself.
 LOAD_SHEDDING_FRACTION = 0.95
@@ -38,11 +41,13 @@
 # Latencies
 
 # The weight of the newest latency in the running mean, and in the slower mean that serves as the baseline.
+# Some ten attempts count in the first one, and ten times as many in the second.
 LATENCY_MEAN_WEIGHT = 0.2
 BASELINE_LATENCY_WEIGHT = 0.02
 # A destination is slow if its mean latency exceeds its baseline by this factor.
 SLOW_FACTOR = 3.0
-# An attempt is overdue after this multiple of the mean latency, and no earlier than the minimum.
+# An attempt is overdue after this multiple of the mean latency, and no earlier than the minimum, as a short
+# pause is no outage.
 OVERDUE_FACTOR = 5.0
 MIN_OVERDUE_S = 1.0
 # Another attempt is useless with less time left than this multiple of the mean latency. Where no mean is
@@ -70,7 +75,8 @@
 # In a large fleet, a rate limit grows by this fraction of the quota directly after a cut. The fraction
 # doubles with each second since the cut.
 CAUTIOUS_QUOTA_STEP_FRACTION = 0.02
-# A rate limit allows at least this number of calls within the shortest deadline.
+# A rate limit allows at least this number of calls within the shortest deadline, so that a message does not
+# wait for all of its time.
 MIN_CALLS_PER_DEADLINE = 2.0
 # The first call after a cut, or after a Retry-After, waits for this multiple of the rate limit's interval.
 LIMITED_CALL_JITTER_FACTORS = (0.75, 1.25)
@@ -104,7 +110,7 @@
 # An endpoint is also unhealthy if this number of the latest calls failed.
 FAILURE_WINDOW_CALLS = 12
 UNHEALTHY_WINDOW_FAILURES = 8
-# Where calls are few, failed connections show an outage from this number in a row on.
+# Where calls are few, failed connections show an outage from this number in a row on; fewer may be chance.
 LOW_TRAFFIC_OUTAGE_FAULTS = 2
 # An endpoint is reachable if it answered within the dial timeout and this margin.
 REACHABLE_MARGIN_S = 1.0
--- a/juniperward/simulation/recovery_budget.py
+++ b/juniperward/simulation/recovery_budget.py
@@ -5,6 +5,9 @@
 invariant if more than two thirds of these calls came from forwarders that had been notified of the outage by
 a failed attempt.
 
+Sources: `Invariants` of WIRE-juniperward.md (`ColdShare`, `WarmWithinMs`, `FallMultiple`, `FallMs`), its rule on
+fail-back, and STANDING.md. The constants have the values that WIRE-juniperward.md shows.
+
 Pure arithmetic, without a clock or I/O.
 """
 
