--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,70 +1,64 @@
-"""A message that may not be repeated runs twice after a new configuration and a restart."""
+"""Messages that were taken on get their end too late while bad clients send at full speed."""
 
 from __future__ import annotations
 
 import asyncio
-import signal
 
-from standins_2 import TROUBLE, CannotRunError, Clients, Endpoint, Forwarder, World, base_settings, run_case
-
-ONCE, REPEATABLE, NEW = "seat-booking", "guest-status", "desk-notice"
-DESTINATIONS = 4
-MESSAGES_PER_S = 30
-BEFORE_S, AFTER_RELOAD_S, AFTER_S = 3.0, 2.0, 6.0
-TIME_LEFT_S = 10.0
-MIN_ACCEPTED = 50
-
-
-def service(name: str, effect: str) -> dict[str, object]:
-    """Return a class of messages."""
-    return {
-        "Name": name, "Effect": effect, "AimMs": 3000.0, "DeadlineMs": 1000 * TIME_LEFT_S, "LateWorth": 0.3,
-        "Streamed": False, "Worth": 1.0,
-    }  # fmt: skip
-
-
-async def hand_in(world: World, clients: Clients, seconds: float) -> None:
-    """Hand in messages for some time."""
-    for _ in range(int(seconds * MESSAGES_PER_S)):
-        clients.hand_in(ONCE, world.random.randrange(DESTINATIONS), TIME_LEFT_S)
-        await asyncio.sleep(1 / MESSAGES_PER_S)
-
-
-def run_twice(world: World) -> list[str]:
-    """Return the messages of the class `once` that an endpoint has run more than once."""
-    broken = []
-    for name, calls in world.calls.items():
-        if len(calls) > 1 and world.messages[name].service == ONCE:
-            times = ", ".join(f"{call.at - world.began_at:.3f} s at {call.endpoint}" for call in calls)
-            broken.append(f"run twice: {name}, of the class {ONCE}, at {times}")
-    return broken
+from standins_2 import (
+    TROUBLE,
+    CannotRunError,
+    Clients,
+    Endpoint,
+    Forwarder,
+    World,
+    base_settings,
+    lost,
+    run_case,
+    start_bad_clients,
+)
+
+SERVICE = "booking-update"
+DESTINATIONS = 3
+ENDPOINTS_EACH = 2
+# A clump: what these destinations take in some 3 s.
+CLUMP, CLUMP_S = 120, 1.0
+TIME_LEFT_S = 4.0
+BAD_CLIENT_PROCESSES, BAD_CLIENTS_EACH = 3, 90
+FLOOD_S = 9.0
+ROUNDS = 3
+MIN_ACCEPTED = 150
 
 
 async def case(world: World, forwarder: Forwarder) -> list[str]:
-    """Replace the configuration, then restart the forwarder while calls are out."""
+    """Hand in a clump of messages, and let the bad clients begin behind it; three times."""
     await forwarder.start()
     clients = Clients(world, forwarder)
-    await hand_in(world, clients, BEFORE_S)
-    if TROUBLE:
-        world.settings["Services"] = [service(NEW, "repeatable"), *world.settings["Services"]]
-        forwarder.write_config()
-        world.record(f"the new configuration names a further class, {NEW}")
-        forwarder.send_signal(signal.SIGHUP)
-    await hand_in(world, clients, AFTER_RELOAD_S)
-    await forwarder.kill_and_start()
-    await asyncio.sleep(AFTER_S)
+    for _ in range(ROUNDS):
+        for number in range(CLUMP):
+            clients.hand_in(SERVICE, number % DESTINATIONS, TIME_LEFT_S)
+            await asyncio.sleep(CLUMP_S / CLUMP)
+        for _ in range(BAD_CLIENT_PROCESSES if TROUBLE else 0):
+            start_bad_clients(world, forwarder, "no-id", BAD_CLIENTS_EACH, FLOOD_S)
+        await asyncio.sleep(FLOOD_S + TIME_LEFT_S)
     accepted = sum(message.accepted for message in world.messages.values())
     if accepted < MIN_ACCEPTED:
         problem = f"only {accepted} messages were taken on"
         raise CannotRunError(problem)
-    return run_twice(world)
+    return lost(world)
 
 
 def main() -> None:
     """Run the case."""
-    services = [service(ONCE, "once"), service(REPEATABLE, "repeatable")]
-    world = World(base_settings(services, slots=20, max_open=200))
-    world.endpoints = [Endpoint(world, f"s-{cell}", cell) for cell in range(DESTINATIONS)]
+    service = {
+        "Name": SERVICE, "Effect": "by_key", "DedupScope": "all", "WindowMs": 12000.0, "AimMs": 3000.0,
+        "DeadlineMs": 12000.0, "LateWorth": 0.3, "Streamed": False, "Worth": 1.0,
+    }  # fmt: skip
+    world = World(base_settings([service], slots=16, max_open=150))
+    world.endpoints = [
+        Endpoint(world, f"s-{cell}-{number}", cell)
+        for cell in range(DESTINATIONS)
+        for number in range(ENDPOINTS_EACH)
+    ]
     limits = {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3}
     run_case("7", world, limits, case)
 
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -164,10 +164,14 @@
         with contextlib.suppress(asyncio.IncompleteReadError, OSError):
             while True:
                 request = await read_request(reader)
-                await self._handle(request, writer)
+                if not await self._answers(request, reader, writer):
+                    break
         writer.close()
 
-    async def _handle(self, request: Request, writer: asyncio.StreamWriter) -> None:
+    async def _answers(
+        self, request: Request, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Run a call and answer it; return False if its connection has ended meanwhile."""
         world = self.world
         call = Call(
             self.id, request.headers["x-correlation-id"], request.headers.get("idempotency-key", ""), now()
@@ -175,7 +179,9 @@
         world.calls.setdefault(call.id, []).append(call)
         world.record(f"call {call.id} at {self.id}")
         await asyncio.sleep(world.random.uniform(*self.service_s))
-        if self.is_spoilt():
+        if reader.at_eof() or writer.is_closing():
+            call.answer = "connection ended"
+        elif self.is_spoilt():
             call.answer = "spoilt"
             writer.write(SPOILT)
         else:
@@ -185,6 +191,7 @@
         call.answered_at = now()
         world.record(f"answer {call.id} by {self.id}: {call.answer}")
         await writer.drain()
+        return call.answer != "connection ended"
 
 
 class Platform:
