--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -330,11 +330,11 @@
         self.process.send_signal(number)
 
     def memory_mb(self) -> float:
-        """Return the resident memory of the process in MB, 0 if it has ended."""
+        """Return the resident memory of the process in MB of 1,024 KiB, 0 if it has ended."""
         with contextlib.suppress(OSError):
             for line in Path(f"/proc/{self.pid}/status").read_text().splitlines():
                 if line.startswith("VmRSS:"):
-                    return int(line.split()[1]) * 1024 / 1e6
+                    return int(line.split()[1]) / 1024
         return 0.0
 
 
