--- a/juniperward/forwarder/attempt_call.py
+++ b/juniperward/forwarder/attempt_call.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
+import itertools
 import time
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from juniperward.forwarder.active_call import ActiveCall
 from juniperward.forwarder.address import format_address
@@ -28,6 +29,14 @@
 from juniperward.scheduler.events import Outcome
 
 
+@dataclass(frozen=True, slots=True)
+class PreparedRequest:
+    """An encoded request, and the attempt with the messages that it contains."""
+
+    attempt: StartAttempt
+    data: bytes
+
+
 class AttemptCalls:
     """Makes attempts; safe to call from any thread."""
 
@@ -49,50 +58,71 @@
             return same_outcomes(attempt, Outcome.CONNECT_FAILED, written=False)
         if connection.reused:
             increment("connections_reused")
-        items = self._journal_sendable(call, attempt)
-        if not items:
-            # The call was cancelled, the gate closed or the messages ended during the wait for a connection, or the
-            # journal failed.
+        journalled = self._journal_starts(attempt, self._sendable(call, attempt, attempt.items))
+        request = self._begin_writing(call, replace(attempt, items=journalled))
+        if request is None:
+            # The call was cancelled, the gate closed or the messages ended during a wait, or the journal failed.
             increment("attempts_withheld")
             self._connections.put_back(call, connection)
-            return same_outcomes(attempt, Outcome.NOT_SENT, written=False)
-        if len(items) == len(attempt.items):
-            return self._exchange(call, attempt, connection)
-        # Messages that ended during the wait for a connection, or could not be journalled, are not sent.
-        increment("batch_items_withdrawn", len(attempt.items) - len(items))
-        not_sent = same_outcomes(attempt, Outcome.NOT_SENT, written=False)
-        exchanged = self._exchange(call, replace(attempt, items=items), connection)
-        outcomes = {outcome.message: outcome for outcome in not_sent + exchanged}
-        return tuple(outcomes.values())
-
-    def _journal_sendable(self, call: ActiveCall, attempt: StartAttempt) -> tuple[BatchItem, ...]:
-        """Journal and return the messages that may still be sent; none if the call must not be sent.
+            exchanged: tuple[ItemOutcome, ...] = ()
+        else:
+            withdrawn = len(attempt.items) - len(request.attempt.items)
+            if withdrawn:
+                increment("batch_items_withdrawn", withdrawn)
+            exchanged = self._exchange(call, request, connection)
+        return _all_outcomes(attempt, journalled, exchanged)
+
+    def _sendable(
+        self, call: ActiveCall, attempt: StartAttempt, items: tuple[BatchItem, ...]
+    ) -> tuple[BatchItem, ...]:
+        """Return the messages that may be sent now; none if the call must not be sent."""
+        with self._gate.lock:
+            return self._sendable_while_locked(call, attempt, items)
+
+    def _sendable_while_locked(
+        self, call: ActiveCall, attempt: StartAttempt, items: tuple[BatchItem, ...]
+    ) -> tuple[BatchItem, ...]:
+        # The caller holds the lock: a time read before the wait for it may be too old.
+        now = time.monotonic()
+        if call.cancelled or not self._gate.is_open(attempt, now):
+            return ()
+        in_time = [item for item in items if now < item.start_before]
+        if len(in_time) < len(items):
+            increment("deduplication_windows_missed", len(items) - len(in_time))
+        return tuple(item for item in in_time if item.message not in call.withdrawn)
+
+    def _journal_starts(self, attempt: StartAttempt, items: tuple[BatchItem, ...]) -> tuple[BatchItem, ...]:
+        """Journal messages that are about to be sent, and return those for which that worked.
 
         They are journalled only now, after the wait for a connection, so that the messages of a process
-        killed during that wait are restored as not attempted.
+        killed during that wait are restored as not attempted. The gate's lock is not held meanwhile, as the loop
+        would wait for it.
         """
-        now = time.monotonic()
-        with self._gate.lock:
-            if call.cancelled or not self._gate.is_open(attempt, now):
-                return ()
-            items: list[BatchItem] = []
-            for item in attempt.items:
-                if item.message in call.withdrawn or now >= item.start_before:
-                    continue
-                if not self._journal_start(attempt, item, now):
-                    break
-                items.append(item)
-            if items:
-                call.progress = AttemptProgress.WRITING
-            return tuple(items)
-
-    def _journal_start(self, attempt: StartAttempt, item: BatchItem, now: float) -> bool:
+        return tuple(itertools.takewhile(lambda item: self._journal_start(attempt, item), items))
+
+    def _begin_writing(self, call: ActiveCall, attempt: StartAttempt) -> PreparedRequest | None:
+        """Return the request of the messages that may still be sent, None if there are none.
+
+        Nothing may wait between this check and the write: journalling and encoding come before it.
+        """
+        items = attempt.items
+        while items:
+            attempt = replace(attempt, items=items)
+            data = encode_attempt(attempt, time.monotonic())
+            with self._gate.lock:
+                items = self._sendable_while_locked(call, attempt, items)
+                if items == attempt.items:
+                    call.progress = AttemptProgress.WRITING
+                    return PreparedRequest(attempt, data)
+        return None
+
+    def _journal_start(self, attempt: StartAttempt, item: BatchItem) -> bool:
         """Write the record of a message; return False if that fails.
 
         A message without a record must not be sent: after a crash it would be restored as not attempted.
         """
         try:
-            self.append(AttemptStartedRecord(item.content.id, now, attempt.endpoint_id))
+            self.append(AttemptStartedRecord(item.content.id, time.monotonic(), attempt.endpoint_id))
         except OSError as error:
             increment("journal_failures")
             log("journal", "attempt not recorded; message not sent", message=item.content.id, error=error)
@@ -100,11 +130,12 @@
         return True
 
     def _exchange(
-        self, call: ActiveCall, attempt: StartAttempt, connection: EndpointConnection
+        self, call: ActiveCall, request: PreparedRequest, connection: EndpointConnection
     ) -> tuple[ItemOutcome, ...]:
         """Send the request and read its answer; the connection is put back or closed."""
+        attempt = request.attempt
         try:
-            connection.sock.sendall(encode_attempt(attempt, time.monotonic()))
+            connection.sock.sendall(request.data)
         except OSError:
             connection.close()
             return same_outcomes(attempt, Outcome.CONNECT_FAILED)
@@ -127,6 +158,22 @@
         return read_outcomes(attempt, answer, on_new_connection)
 
 
+def _all_outcomes(
+    attempt: StartAttempt, journalled: tuple[BatchItem, ...], exchanged: tuple[ItemOutcome, ...]
+) -> tuple[ItemOutcome, ...]:
+    """Return the outcomes of all messages of an attempt; those without one were not sent.
+
+    The journal has the attempt of each message in `journalled`, and needs its outcome.
+    """
+    in_journal = {item.message for item in journalled}
+    outcomes = {
+        item.message: ItemOutcome(item.message, Outcome.NOT_SENT, written=item.message in in_journal)
+        for item in attempt.items
+    }
+    outcomes.update((outcome.message, outcome) for outcome in exchanged)
+    return tuple(outcomes.values())
+
+
 def _outcomes_without_answer(
     call: ActiveCall, attempt: StartAttempt, error: Exception
 ) -> tuple[ItemOutcome, ...]:
--- a/juniperward/forwarder/model.py
+++ b/juniperward/forwarder/model.py
@@ -86,8 +86,7 @@
         capacity_left: The unused fraction of the reported limit, or None.
         reported_limit_per_s: The rate limit that the endpoint reported, or None.
         connection_table_full: Whether the endpoint runs but accepts no more connections.
-        written: Whether a byte of the message may have been written, in which case the journal has the
-            attempt.
+        written: Whether the journal has the attempt, as it must before a byte of the message is written.
     """
 
     message: int
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -23,6 +23,7 @@
 from juniperward.forwarder.effects import StartAttempt
 from juniperward.forwarder.endpoint_client import EndpointClient
 from juniperward.forwarder.endpoint_connection import EndpointConnection
+from juniperward.forwarder.endpoint_requests import encode_attempt
 from juniperward.forwarder.events import AttemptAnswered, Event, MessageReceived
 from juniperward.forwarder.model import AttemptProgress, BatchItem, ItemOutcome, Message
 from juniperward.forwarder.server import Server
@@ -517,8 +518,9 @@
                 ours, theirs = socket.socketpair()
                 theirs.sendall(answer[:cut])
                 theirs.shutdown(socket.SHUT_WR)
+                request = attempt_call.PreparedRequest(attempt, encode_attempt(attempt, 0.0))
                 outcomes = self.client.attempts._exchange(
-                    ActiveCall(attempt), attempt, EndpointConnection(ours, ("w", 1))
+                    ActiveCall(attempt), request, EndpointConnection(ours, ("w", 1))
                 )
                 theirs.close()
                 assert [e.message for e in outcomes] == list(range(count))
