Limit the number of chunks in an endpoint's answer

Cause: each chunk of an answer takes the interpreter some ten calls, however small it is, and only the bytes of the body were limited. No case had shown it.

Change: a body has at most 512 chunks; an answer with more is malformed, as one with too many bytes is.

--- a/juniperward/net/http_responses.py
+++ b/juniperward/net/http_responses.py
@@ -21,6 +21,8 @@
 
 MAX_CHUNK_BYTES = 4 * 1024 * 1024  # A chunk from discovery may hold its complete endpoint list.
 MAX_CHUNK_LINE_BYTES = 256
+# The interpreter takes several steps for each chunk, however small it is.
+MAX_BODY_CHUNKS = 512
 MAX_INTERIM_RESPONSES = 16
 # Checked before int(), which also accepts signs, underscores and blanks.
 STATUS_CODE = re.compile(rb"[1-9][0-9]{2}")
@@ -103,12 +105,14 @@
         raise MalformedMessageError(
             HttpStatus.BAD_REQUEST, "the body has an unsupported transfer coding, or also a content-length"
         )
-    body = b""
-    for chunk in read_chunks(stream, max_bytes):
+    body = bytearray()
+    for number, chunk in enumerate(read_chunks(stream, max_bytes), 1):
         body += chunk
-        if len(body) > max_bytes:
-            raise MalformedMessageError(HttpStatus.CONTENT_TOO_LARGE, "the body is too large")
-    return body
+        if len(body) > max_bytes or number > MAX_BODY_CHUNKS:
+            raise MalformedMessageError(
+                HttpStatus.CONTENT_TOO_LARGE, "the body or its number of chunks is too large"
+            )
+    return bytes(body)
 
 
 def read_chunks(stream: Stream, max_chunk_bytes: int = MAX_CHUNK_BYTES) -> Iterator[bytes]:
--- a/tests/test_headers.py
+++ b/tests/test_headers.py
@@ -1,4 +1,4 @@
-"""What the headers of a message cost in memory and in steps of the interpreter, and what they contain."""
+"""What a message costs in memory and in steps of the interpreter while it is read, and what its headers contain."""
 
 from __future__ import annotations
 
@@ -15,9 +15,9 @@
 
 from juniperward.net.headers import Headers
 from juniperward.net.http_errors import IncompleteMessageError, MalformedMessageError
-from juniperward.net.http_head import MAX_HEAD_BYTES, read_headers
+from juniperward.net.http_head import MAX_BODY_BYTES, MAX_HEAD_BYTES, read_headers
 from juniperward.net.http_requests import read_request
-from juniperward.net.http_responses import read_response
+from juniperward.net.http_responses import MAX_BODY_CHUNKS, read_response
 from juniperward.net.stream import Stream
 from tests.player import Program
 from tests.test_client_faults import stream_of
@@ -81,6 +81,16 @@
         assert many <= few <= MAX_STEPS
 
 
+def test_the_interpreter_does_little_for_an_answer_in_tiny_chunks() -> None:
+    # Guards against answers in chunks of one byte that keep the interpreter from the loop.
+    head = b"HTTP/1.1 500 X\r\nTransfer-Encoding: chunked\r\n\r\n"
+    allowed = head + b"1\r\nx\r\n" * MAX_BODY_CHUNKS + b"0\r\n\r\n"
+    assert read_response(stream_of(allowed)).body == b"x" * MAX_BODY_CHUNKS
+    whole_body = head + b"1\r\nx\r\n" * MAX_BODY_BYTES + b"0\r\n\r\n"
+    most = count_steps(lambda: read_response(stream_of(allowed)))
+    assert count_steps(lambda: read_response(stream_of(whole_body))) <= most + MAX_STEPS
+
+
 def test_clients_that_stop_in_the_middle_of_requests_stay_within_the_memory_limit() -> None:
     # Guards against a third of the descriptors, each with a head of many short lines and half a body.
     data = b"POST /api HTTP/1.1\r\nContent-Length: 65536\r\n" + short_lines(2300) + b"\r\n" + bytes(32768)
