Skip all empty lines before a request in one step, and limit them

Change: the empty lines received are removed at once, and more than 16 KiB of them are answered 431.

--- a/juniperward/net/http_requests.py
+++ b/juniperward/net/http_requests.py
@@ -27,6 +27,7 @@
 # The start of a target in origin form (a path) or in absolute form (a URL).
 TARGET_START = re.compile(rb"(?:[Hh][Tt][Tt][Pp]://[^/?#]+)?/")
 REQUEST_LINE_PARTS = 3
+INCOMPLETE_EMPTY_LINES = (b"", b"\r")
 
 
 def _send_no_continue() -> None:
@@ -59,11 +60,8 @@
 
 def _read_request_line(stream: Stream) -> tuple[bytes, bytes, bytes]:
     """Return method, target and version; empty lines before the request line are skipped."""
-    line = b""
-    while not line:
-        if not stream.buffer:
-            _read_first_bytes(stream)
-        line = stream.read_line(MAX_HEAD_BYTES, HttpStatus.HEADER_FIELDS_TOO_LARGE)
+    _skip_empty_lines(stream)
+    line = stream.read_line(MAX_HEAD_BYTES, HttpStatus.HEADER_FIELDS_TOO_LARGE)
     parts = line.split(b" ")
     if len(parts) != REQUEST_LINE_PARTS:
         raise MalformedMessageError(HttpStatus.BAD_REQUEST, "the request line is malformed")
@@ -77,6 +75,16 @@
     return method, target, version
 
 
+def _skip_empty_lines(stream: Stream) -> None:
+    """Wait for the first byte of a request line, and remove the empty lines before it."""
+    remaining_bytes = MAX_HEAD_BYTES - stream.skip_empty_lines()
+    while stream.buffer in INCOMPLETE_EMPTY_LINES:
+        _read_first_bytes(stream)
+        remaining_bytes -= stream.skip_empty_lines()
+        if remaining_bytes < 0:
+            raise MalformedMessageError(HttpStatus.HEADER_FIELDS_TOO_LARGE, "too many empty lines")
+
+
 def _read_first_bytes(stream: Stream) -> None:
     try:
         stream.read_more()
--- a/juniperward/net/stream.py
+++ b/juniperward/net/stream.py
@@ -53,6 +53,15 @@
         del self.buffer[: end + 1]
         return line.removesuffix(b"\r")
 
+    def skip_empty_lines(self) -> int:
+        """Remove the empty lines that were received at the start of the buffer, and return their length in bytes."""
+        line_end_bytes = len(self.buffer) - len(self.buffer.lstrip(b"\r\n"))
+        length = self.buffer.rfind(b"\n", 0, line_end_bytes) + 1
+        if b"\r" in self.buffer[:length].replace(b"\r\n", b""):
+            return 0  # A carriage return that ends no line makes its line malformed.
+        del self.buffer[:length]
+        return length
+
     def read_head_lines(self, max_bytes: int, too_long_status: int) -> Iterator[bytes]:
         """Yield the lines before the next empty line with their line ends, in blocks as they arrive.
 
--- a/tests/test_headers.py
+++ b/tests/test_headers.py
@@ -91,6 +91,17 @@
     assert count_steps(lambda: read_response(stream_of(whole_body))) <= most + MAX_STEPS
 
 
+def test_the_interpreter_does_no_more_for_more_empty_lines_before_a_request() -> None:
+    # Guards against clients that send line ends at full speed.
+    end = b"GET / HTTP/1.1\r\n\r\n"
+    few, many = (count_steps(lambda n=n: read_request(stream_of(b"\r\n" * n + end))) for n in (2, 8000))  # type: ignore[misc]
+    assert many <= few <= MAX_STEPS
+    with pytest.raises(MalformedMessageError, match="too many empty lines"):
+        read_request(Stream(lambda length: b"\n" * length))
+    with pytest.raises(MalformedMessageError, match="request line"):
+        read_request(stream_of(b"\n\r\r\n" + end))
+
+
 def test_clients_that_stop_in_the_middle_of_requests_stay_within_the_memory_limit() -> None:
     # Guards against a third of the descriptors, each with a head of many short lines and half a body.
     data = b"POST /api HTTP/1.1\r\nContent-Length: 65536\r\n" + short_lines(2300) + b"\r\n" + bytes(32768)
