Limit the header lines of interim responses together with the final ones

Cause: up to 16 interim responses may come before an answer, each with a head of 16 KiB of its own, so that one answer could take the interpreter seventeen times as long as the longest head. By reading; no case had shown it.

Change: the header lines of all heads of an answer share the limit of 16 KiB.

tests/test_headers.py: on the code before, three interim responses with 7,000 bytes each were read; now they are rejected.

--- a/juniperward/net/headers.py
+++ b/juniperward/net/headers.py
@@ -50,6 +50,11 @@
             if first >= 0 and self._lookup_lines.find(prefix, first + 1) >= 0:
                 raise MalformedMessageError(HttpStatus.BAD_REQUEST, f"{name} stands twice")
 
+    @property
+    def size_bytes(self) -> int:
+        """The size of all lines, each with one byte for its line end."""
+        return len(self._lines)
+
     def __getitem__(self, name: str) -> str:
         """Return the value of a header; raises KeyError if it is absent."""
         values = self._values(name)
--- a/juniperward/net/http_head.py
+++ b/juniperward/net/http_head.py
@@ -23,16 +23,16 @@
 TOKEN_BYTES = frozenset(b"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ")
 
 
-def read_headers(stream: Stream) -> Headers:
+def read_headers(stream: Stream, max_bytes: int = MAX_HEAD_BYTES) -> Headers:
     """Return the headers of a message; the empty line that ends them is read too.
 
     Raises:
-        MalformedMessageError: for malformed lines, or lines of more than MAX_HEAD_BYTES together.
+        MalformedMessageError: for malformed lines, or lines of more than `max_bytes` together.
         IncompleteMessageError: if the stream ends or the time limit is reached before the empty line.
 
     """
     blocks: list[bytes] = []
-    for block in stream.read_head_lines(MAX_HEAD_BYTES, HttpStatus.HEADER_FIELDS_TOO_LARGE):
+    for block in stream.read_head_lines(max_bytes, HttpStatus.HEADER_FIELDS_TOO_LARGE):
         lines = block.replace(b"\r\n", b"\n")
         _check_lines(lines)
         blocks.append(lines)
--- a/juniperward/net/http_responses.py
+++ b/juniperward/net/http_responses.py
@@ -36,7 +36,8 @@
 def read_head(stream: Stream, set_begun: Callable[[bool], None] = _ignore_begun) -> tuple[int, Headers, bool]:
     """Return the status and headers of a response, and whether the connection is closed after it.
 
-    Up to MAX_INTERIM_RESPONSES interim (1xx) responses are skipped. `set_begun` is called with False before
+    Up to MAX_INTERIM_RESPONSES interim (1xx) responses are skipped; the headers of all of them together may have
+    MAX_HEAD_BYTES. `set_begun` is called with False before
     each head and with True once its first bytes are received, so that the caller can limit the time of the
     transfer apart from the time of the wait for it.
 
@@ -47,6 +48,7 @@
 
     """
     status: int | None = None
+    remaining_bytes = MAX_HEAD_BYTES
     for _ in range(MAX_INTERIM_RESPONSES + 1):
         try:
             set_begun(False)
@@ -54,13 +56,14 @@
                 stream.read_more()
             set_begun(True)
             version, status = _read_status_line(stream)
-            headers = read_headers(stream)
+            headers = read_headers(stream, remaining_bytes)
         except (IncompleteMessageError, MalformedMessageError) as error:
             if status is None:
                 raise
             raise IncompleteMessageError.after(status, error) from error
         if status >= FIRST_FINAL_STATUS:
             return status, headers, ends_connection(version, headers)
+        remaining_bytes -= headers.size_bytes
     assert status is not None
     problem = MalformedMessageError(HttpStatus.BAD_REQUEST, "too many interim responses")
     raise IncompleteMessageError.after(status, problem)
--- a/tests/test_headers.py
+++ b/tests/test_headers.py
@@ -81,6 +81,15 @@
         assert many <= few <= MAX_STEPS
 
 
+def test_interim_responses_share_the_limit_of_one_head() -> None:
+    # Guards against an answer whose interim responses take as long to read as many heads.
+    interim = b"HTTP/1.1 103 X\r\n" + short_lines(1000) + b"\r\n"
+    final = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+    assert read_response(stream_of(interim * 2 + final)).status == 200
+    with pytest.raises(IncompleteMessageError, match="too large"):
+        read_response(stream_of(interim * 3 + final))
+
+
 def test_the_interpreter_does_little_for_an_answer_in_tiny_chunks() -> None:
     # Guards against answers in chunks of one byte that keep the interpreter from the loop.
     head = b"HTTP/1.1 500 X\r\nTransfer-Encoding: chunked\r\n\r\n"
