Let eight threads of calls to endpoints run at once, as of clients

And any number of calls could be in that work at once, up to twice the slots and eight, of all of which the loop waits at each of its system calls.

Change: the threads of calls have a limit like those of clients. A thread holds a slot while it encodes, journals, parses and decodes, and gives it back while it connects, writes or reads. The last check before the write stays the last step, as giving a slot back does not wait.

Calls that wait for their answers keep no slot.

--- a/juniperward/forwarder/attempt_call.py
+++ b/juniperward/forwarder/attempt_call.py
@@ -135,7 +135,7 @@
         """Send the request and read its answer; the connection is put back or closed."""
         attempt = request.attempt
         try:
-            connection.sock.sendall(request.data)
+            connection.send(request.data)
         except OSError:
             connection.close()
             return same_outcomes(attempt, Outcome.CONNECT_FAILED)
--- a/juniperward/forwarder/client_session.py
+++ b/juniperward/forwarder/client_session.py
@@ -19,7 +19,7 @@
     ClientConnection,
 )
 from juniperward.forwarder.codec import MESSAGE_PATH, UnreadableMessageError, decode_message, encode_reply
-from juniperward.forwarder.concurrency_limit import ConcurrencyLimit
+from juniperward.forwarder.concurrency_limit import MAX_RUNNING_THREADS, ConcurrencyLimit
 from juniperward.forwarder.events import Event, MessageReceived
 from juniperward.forwarder.health_page import answer_page
 from juniperward.forwarder.pending_requests import PendingRequests
@@ -42,8 +42,6 @@
 # The Retry-After of rejections that are not made by the reducer.
 RETRY_AFTER_S = 1.0
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-# At each of its system calls, the loop waits for the interpreter behind at most this number of client threads.
-MAX_RUNNING_THREADS = 8
 
 
 @dataclass(slots=True)
--- a/juniperward/forwarder/concurrency_limit.py
+++ b/juniperward/forwarder/concurrency_limit.py
@@ -9,6 +9,9 @@
 import queue
 from types import TracebackType
 
+# At each of its system calls, the loop waits for the interpreter behind at most this number of threads of a group.
+MAX_RUNNING_THREADS = 8
+
 
 class Blocking:
     """A context in which a thread holds no slot, because it blocks."""
--- a/juniperward/forwarder/endpoint_client.py
+++ b/juniperward/forwarder/endpoint_client.py
@@ -1,5 +1,7 @@
 """Makes calls to endpoints on threads; the loop starts and cancels them, and withdraws messages from them.
 
+Only MAX_RUNNING_THREADS of these threads run at once; the others block, or wait for a slot.
+
 `effect_executor.py` calls an `EndpointClient` for the effects of the reducer; results are posted as events.
 """
 
@@ -14,6 +16,7 @@
 from juniperward.forwarder.active_call import ActiveCall
 from juniperward.forwarder.answers import same_outcomes
 from juniperward.forwarder.attempt_call import AttemptCalls
+from juniperward.forwarder.concurrency_limit import MAX_RUNNING_THREADS, ConcurrencyLimit
 from juniperward.forwarder.connection_pool import ConnectionPool
 from juniperward.forwarder.effects import StartAttempt, StartHealthCheck
 from juniperward.forwarder.endpoint_connection import MIN_READ_TIMEOUT_S
@@ -65,8 +68,9 @@
         """Start without threads; `post` takes results, `append` writes to the journal and raises OSError."""
         self.pool = ConnectionPool(limits.keepalive_s, limits.max_idle_connections)
         self.gate = SendGate()
+        self._running = ConcurrencyLimit(MAX_RUNNING_THREADS)
         self.connections = EndpointConnections(
-            self.pool, self.gate, limits.dial_timeout_s, limits.read_timeout_s
+            self.pool, self.gate, limits.dial_timeout_s, limits.read_timeout_s, self._running.blocking
         )
         self.attempts = AttemptCalls(self.connections, self.gate, append)
         self.health_checks = HealthCheckCalls(self.connections, self.gate)
@@ -164,7 +168,8 @@
     def _work(self) -> None:
         while True:
             call = self.submitted.get()
-            result = self._run(call)
+            with self._running:
+                result = self._run(call)
             with self.gate.lock:
                 self.free_threads += 1
                 is_active = self.active.pop(call.effect.number, None) is not None
--- a/juniperward/forwarder/endpoint_connection.py
+++ b/juniperward/forwarder/endpoint_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import time
 
@@ -12,6 +13,8 @@
 MIN_READ_TIMEOUT_S = 60.0
 # The time limit from the first byte of an answer to the last.
 MAX_ANSWER_TRANSFER_S = 0.5
+# The context for operations that may block, of a connection whose threads are not limited.
+NOT_LIMITED: contextlib.AbstractContextManager[None] = contextlib.nullcontext()
 
 
 class EndpointConnection:
@@ -26,9 +29,17 @@
     """
 
     def __init__(
-        self, sock: socket.socket, address: tuple[str, int], read_timeout_s: float = MIN_READ_TIMEOUT_S
+        self,
+        sock: socket.socket,
+        address: tuple[str, int],
+        read_timeout_s: float = MIN_READ_TIMEOUT_S,
+        blocking: contextlib.AbstractContextManager[None] = NOT_LIMITED,
     ) -> None:
-        """Use a connected socket; a read takes `read_timeout_s` at most where no deadline is set."""
+        """Use a connected socket; a read takes `read_timeout_s` at most where no deadline is set.
+
+        `blocking` is entered for each read and write.
+        """
+        self._blocking = blocking
         self.sock, self.address, self.read_timeout_s = sock, address, read_timeout_s
         self.stream = Stream(self._receive)
         self.idle_since = time.monotonic()
@@ -40,6 +51,11 @@
         """Start the time limit for the transfer of an answer, or clear it while no answer has begun."""
         self.transfer_deadline = time.monotonic() + MAX_ANSWER_TRANSFER_S if begun else None
 
+    def send(self, data: bytes) -> None:
+        """Write a request; raises OSError."""
+        with self._blocking:
+            self.sock.sendall(data)
+
     def close(self) -> None:
         """Close the socket."""
         self.sock.close()
@@ -53,4 +69,5 @@
         if timeout_s <= 0:
             raise TimeoutError
         sockets.set_timeout(self.sock, socket.SO_RCVTIMEO, timeout_s)
-        return self.sock.recv(size)
+        with self._blocking:
+            return self.sock.recv(size)
--- a/juniperward/forwarder/endpoint_connections.py
+++ b/juniperward/forwarder/endpoint_connections.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import time
 
@@ -12,7 +13,7 @@
 from juniperward.forwarder.address import format_address
 from juniperward.forwarder.answer_headers import read_retry_after
 from juniperward.forwarder.connection_pool import ConnectionPool
-from juniperward.forwarder.endpoint_connection import MIN_READ_TIMEOUT_S, EndpointConnection
+from juniperward.forwarder.endpoint_connection import MIN_READ_TIMEOUT_S, NOT_LIMITED, EndpointConnection
 from juniperward.forwarder.model import AttemptProgress
 from juniperward.forwarder.send_gate import SendGate, route_of
 from juniperward.forwarder.telemetry import increment, log
@@ -29,8 +30,13 @@
         gate: SendGate,
         dial_timeout_s: float,
         read_timeout_s: float = MIN_READ_TIMEOUT_S,
+        blocking: contextlib.AbstractContextManager[None] = NOT_LIMITED,
     ) -> None:
-        """Use the idle connections of `pool`; a Retry-After in an answer pauses its route at `gate`."""
+        """Use the idle connections of `pool`; a Retry-After in an answer pauses its route at `gate`.
+
+        `blocking` is entered for each operation that may block.
+        """
+        self._blocking = blocking
         self._pool, self._gate = pool, gate
         self.dial_timeout_s = dial_timeout_s
         self.read_timeout_s = max(read_timeout_s, MIN_READ_TIMEOUT_S)
@@ -38,7 +44,8 @@
     def connect(self, call: ActiveCall) -> EndpointConnection | None:
         """Return a connection for a call, None if none can be established; sets `call.sock` to its socket."""
         address = (call.effect.host, call.effect.port)
-        connection = self._pool.take(call.effect.endpoint, address)
+        with self._blocking:
+            connection = self._pool.take(call.effect.endpoint, address)
         if connection is None:
             return self._dial(call, address)
         call.sock = connection.sock
@@ -56,7 +63,8 @@
         try:
             if call.cancelled or remaining_s <= 0:
                 raise TimeoutError
-            sockets.connect(*address, remaining_s, sock)
+            with self._blocking:
+                sockets.connect(*address, remaining_s, sock)
             # Replace the timeout of this dial, which would also limit later writes on the connection.
             sockets.set_timeout(sock, socket.SO_SNDTIMEO, self.dial_timeout_s)
         except OSError as error:
@@ -70,7 +78,7 @@
             )
             return None
         increment("connections_opened")
-        return EndpointConnection(sock, address, self.read_timeout_s)
+        return EndpointConnection(sock, address, self.read_timeout_s, self._blocking)
 
     def put_back(self, call: ActiveCall, connection: EndpointConnection) -> None:
         """Put back a connection on which nothing was sent."""
--- a/juniperward/forwarder/health_check_call.py
+++ b/juniperward/forwarder/health_check_call.py
@@ -46,7 +46,7 @@
         connection.answer_deadline = check.deadline
         on_new_connection = not connection.reused
         try:
-            connection.sock.sendall(encode_health_check(check))
+            connection.send(encode_health_check(check))
             answer = read_response(connection.stream, connection.set_answer_begun)
             connection.answer_deadline = None
         except (IncompleteMessageError, MalformedMessageError, OSError) as error:
--- a/tests/test_client_concurrency.py
+++ b/tests/test_client_concurrency.py
@@ -10,7 +10,7 @@
 
 from juniperward.forwarder import client_session
 from juniperward.forwarder.codec import UnreadableMessageError
-from juniperward.forwarder.concurrency_limit import ConcurrencyLimit
+from juniperward.forwarder.concurrency_limit import MAX_RUNNING_THREADS, ConcurrencyLimit
 from juniperward.forwarder.server import Server
 from juniperward.net import sockets
 from juniperward.net.http_responses import read_response
@@ -19,7 +19,7 @@
 from tests.resources import Resources
 from tests.test_client_faults import NAMES, request, reset_on_close
 
-CONNECTIONS = 5 * client_session.MAX_RUNNING_THREADS
+CONNECTIONS = 5 * MAX_RUNNING_THREADS
 HEALTH_REQUEST = b"GET /health/live HTTP/1.1\r\nHost: h\r\n\r\n"
 
 
@@ -82,12 +82,12 @@
             sock.sendall(request(f"m{number}"))
         self.wait_until_read(CONNECTIONS)
         until = time.monotonic() + WAIT_S
-        while decoder.running < client_session.MAX_RUNNING_THREADS and time.monotonic() < until:
+        while decoder.running < MAX_RUNNING_THREADS and time.monotonic() < until:
             time.sleep(0)
-        assert decoder.most_running == client_session.MAX_RUNNING_THREADS
+        assert decoder.most_running == MAX_RUNNING_THREADS
         decoder.may_finish.set()
         assert [read_response(stream).status for stream in streams] == [400] * CONNECTIONS
-        assert decoder.most_running == client_session.MAX_RUNNING_THREADS
+        assert decoder.most_running == MAX_RUNNING_THREADS
 
     def test_clients_that_are_waited_for_do_not_delay_others(self, monkeypatch: pytest.MonkeyPatch) -> None:
         # Guards against slow clients, or messages without an answer, that keep all others from being served.
