Count a message's time left from its last bytes, not from its thread's turn

Cause: the thread of a client took the time of receipt after it had received a request, waited for one of the slots for running threads, and parsed the request. The client counts from when it sent the message, so each end came late by that wait.

Change: the time is taken right after bytes are received, before the wait for a slot.

tests/test_client_concurrency.py: with all slots taken while a request arrives, the time of receipt was that of the slots' release on the code before.

--- a/juniperward/forwarder/client_connection.py
+++ b/juniperward/forwarder/client_connection.py
@@ -40,6 +40,7 @@
         close_after_answer: Whether the answer that is written next ends the connection.
         evicted: Whether the connection is being closed to make room for another.
         idle_since: When the connection was accepted or became idle after an answer (monotonic seconds).
+        received_at: When bytes were last received (monotonic seconds).
         read_deadline: When the current wait for input ends (monotonic seconds).
 
     """
@@ -55,6 +56,7 @@
         self.close_after_answer = False
         self.evicted = False
         self.idle_since = time.monotonic()
+        self.received_at = self.idle_since
         self.read_deadline = self.idle_since + FIRST_REQUEST_TIMEOUT_S
 
     def receive(self, size: int) -> bytes:
@@ -63,7 +65,9 @@
         if remaining_s <= 0:
             raise TimeoutError
         sockets.set_timeout(self.sock, socket.SO_RCVTIMEO, remaining_s)
-        return self.sock.recv(size)
+        data = self.sock.recv(size)
+        self.received_at = time.monotonic()
+        return data
 
     def write(self, data: bytes) -> bool:
         """Write an answer without blocking and return whether all of it was written.
--- a/juniperward/forwarder/client_session.py
+++ b/juniperward/forwarder/client_session.py
@@ -105,11 +105,10 @@
             increment("requests_timed_out")
             self._reject(client, HttpStatus.REQUEST_TIMEOUT, "the call was not whole in time")
             return False
-        received_at = time.monotonic()
         client.served = True
         if request.path == MESSAGE_PATH and request.method == "POST":
             client.close_after_answer = request.close
-            self._serve_message(client, request, received_at)
+            self._serve_message(client, request)
         else:
             ready = self._state.ready and not self._state.stopping
             client.write(answer_page(request, ready, request.close or self._state.stopping))
@@ -134,8 +133,11 @@
         if client.served or not self._state.stopping:
             client.read_deadline = time.monotonic() + REQUEST_TIMEOUT_S
 
-    def _serve_message(self, client: ClientConnection, request: HttpRequest, received_at: float) -> None:
-        """Submit a message to the reducer, and reject it if the reducer does not answer in time."""
+    def _serve_message(self, client: ClientConnection, request: HttpRequest) -> None:
+        """Submit a message to the reducer, and reject it if the reducer does not answer in time.
+
+        Its time left counts from when its last bytes were received, and not from the end of the wait for a slot.
+        """
         close = request.close or self._state.stopping
         try:
             message = decode_message(request, self._names)
@@ -143,7 +145,7 @@
             increment("requests_unreadable")
             client.write(encode_reply(HttpStatus.BAD_REQUEST, 0.0, close, str(error)))
             return
-        self._post(MessageReceived(self._requests.add(client), message, received_at))
+        self._post(MessageReceived(self._requests.add(client), message, client.received_at))
         with self._limit.blocking:
             answered = client.answered.wait(ANSWER_TIMEOUT_S)
         if answered:
--- a/tests/test_client_concurrency.py
+++ b/tests/test_client_concurrency.py
@@ -2,21 +2,26 @@
 
 from __future__ import annotations
 
+import contextlib
+import queue
 import socket
 import threading
 import time
+from collections.abc import Callable
 
 import pytest
 
 from juniperward.forwarder import client_session
+from juniperward.forwarder.client_connection import ClientConnection
 from juniperward.forwarder.codec import UnreadableMessageError
 from juniperward.forwarder.concurrency_limit import MAX_RUNNING_THREADS, ConcurrencyLimit
+from juniperward.forwarder.events import Event, MessageReceived
 from juniperward.forwarder.server import Server
 from juniperward.net import sockets
 from juniperward.net.http_responses import read_response
 from juniperward.net.stream import Stream
 from tests.player import WAIT_S
-from tests.resources import Resources
+from tests.resources import Resources, UsesResources
 from tests.test_client_faults import NAMES, request, reset_on_close
 
 CONNECTIONS = 5 * MAX_RUNNING_THREADS
@@ -108,6 +113,39 @@
         assert self.is_answered()
 
 
+class TestTimeLeft(UsesResources):
+    def test_the_time_left_does_not_begin_after_the_wait_for_a_slot(self) -> None:
+        # Guards against messages whose end comes late by as long as their thread had waited for others.
+        events: queue.Queue[Event] = queue.Queue()
+        server = self.resources.closing(Server(("127.0.0.1", 0), NAMES, 10, events.put))
+        ours, theirs = socket.socketpair()
+        self.resources.callback(ours.close)
+        self.resources.callback(theirs.close)
+        client = ClientConnection(1, ours)
+        threading.Thread(target=server.sessions.serve, args=(client,), daemon=True).start()
+        theirs.sendall(request("m1")[:50])
+        wait_until(lambda: not client.idle)
+        with contextlib.ExitStack() as slots:
+            # The last slot is free once the thread waits for the rest of the request.
+            for _ in range(MAX_RUNNING_THREADS):
+                slots.enter_context(server.sessions._limit)
+            sent_at = time.monotonic()
+            theirs.sendall(request("m1")[50:])
+            wait_until(lambda: client.received_at >= sent_at)
+            released_at = time.monotonic()
+        event = events.get(timeout=WAIT_S)
+        assert isinstance(event, MessageReceived)
+        assert sent_at <= event.received_at <= released_at
+
+
+def wait_until(condition: Callable[[], bool]) -> None:
+    """Wait until a condition of another thread holds."""
+    until = time.monotonic() + WAIT_S
+    while not condition():
+        assert time.monotonic() < until
+        time.sleep(0)
+
+
 def test_a_slot_is_free_again_after_an_error() -> None:
     limit = ConcurrencyLimit(1)
     for _ in range(3):
