Limit what incomplete bodies may take together, by the configured memory

What callers saw: with heads of one long line in place of many short ones, clients that stop in the middle of a request on all client connections of 256 descriptors took a forwarder to 33.8 MB resident, where a deployment may have 32.

Cause: a body of up to 64 KiB was held on each connection while its missing bytes were awaited, on as many connections as the table has. Nothing read `limits.memory_mb`.

Change: a body that did not come with its head is reserved before the wait for it. The bodies that are reserved together take an eighth of the memory limit; beyond it the ones awaited for longest get 503 (`bodies_given_up`). Bodies of usual clients arrive within milliseconds, and the most recent ones are never given up.

--- a/juniperward/forwarder/assembly.py
+++ b/juniperward/forwarder/assembly.py
@@ -15,7 +15,7 @@
 from juniperward.forwarder.journal import JOURNAL_NAME, Journal
 from juniperward.forwarder.loop import Loop
 from juniperward.forwarder.reducer import Reducer
-from juniperward.forwarder.server import Server
+from juniperward.forwarder.server import Server, ServerLimits
 from juniperward.forwarder.telemetry import log
 
 if TYPE_CHECKING:
@@ -56,7 +56,11 @@
         log("start", "descriptor limit too low", sockets=config.max_sockets, needed=MIN_SOCKETS)
     connection_limits = divide_descriptors(config.max_sockets, settings.slots)
     server = Server(
-        config.listen, config.names, connection_limits.clients, queue.post, connection_limits.closing_clients
+        config.listen,
+        config.names,
+        connection_limits.clients,
+        queue.post,
+        ServerLimits(connection_limits.closing_clients, config.memory_limit_bytes),
     )
     client_limits = EndpointClientLimits(
         settings.dial_timeout_s,
--- a/juniperward/forwarder/client_connection.py
+++ b/juniperward/forwarder/client_connection.py
@@ -39,6 +39,7 @@
         served: Whether a complete request has been read.
         close_after_answer: Whether the answer that is written next ends the connection.
         evicted: Whether the connection is being closed to make room for another.
+        given_up: Whether the request that is being read is rejected to free the memory of its body.
         idle_since: When the connection was accepted or became idle after an answer (monotonic seconds).
         received_at: When bytes were last received (monotonic seconds).
         read_deadline: When the current wait for input ends (monotonic seconds).
@@ -55,6 +56,7 @@
         self.served = False
         self.close_after_answer = False
         self.evicted = False
+        self.given_up = False
         self.idle_since = time.monotonic()
         self.received_at = self.idle_since
         self.read_deadline = self.idle_since + FIRST_REQUEST_TIMEOUT_S
--- a/juniperward/forwarder/client_session.py
+++ b/juniperward/forwarder/client_session.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from juniperward.forwarder.body_budget import BodyBudget
 from juniperward.forwarder.client_connection import (
     IDLE_TIMEOUT_S,
     READ_BYTES,
@@ -32,7 +33,7 @@
     MalformedMessageError,
     MessageTimeoutError,
 )
-from juniperward.net.http_requests import read_request
+from juniperward.net.http_requests import RequestHooks, read_request
 from juniperward.net.http_status import HttpStatus
 from juniperward.net.http_values import HttpRequest
 from juniperward.net.stream import Stream
@@ -68,9 +69,11 @@
         names: SettingsNames,
         state: ServiceState,
         requests: PendingRequests,
+        bodies: BodyBudget,
         post: Callable[[Event], None],
     ) -> None:
         """Decode messages with the names of the settings, and submit them to the reducer with `post`."""
+        self._bodies = bodies
         self._names, self._state, self._requests, self._post = names, state, requests, post
         self._limit = ConcurrencyLimit(MAX_RUNNING_THREADS)
 
@@ -96,7 +99,7 @@
         """Read one request and wait until it is answered; return whether the connection stays open."""
         self._wait_for_request(client, stream)
         try:
-            request = read_request(stream, lambda: self._send_continue(client))
+            request = read_request(stream, self._hooks(client))
         except MalformedMessageError as error:
             increment("requests_malformed")
             self._reject(client, error.status, str(error))
@@ -105,6 +108,11 @@
             increment("requests_timed_out")
             self._reject(client, HttpStatus.REQUEST_TIMEOUT, "the call was not whole in time")
             return False
+        except IncompleteMessageError:
+            if not client.given_up:
+                raise
+            self._reject(client, HttpStatus.SERVICE_UNAVAILABLE, "too many incomplete requests")
+            return False
         client.served = True
         if request.path == MESSAGE_PATH and request.method == "POST":
             client.close_after_answer = request.close
@@ -117,6 +125,11 @@
             return False
         return True
 
+    def _hooks(self, client: ClientConnection) -> RequestHooks:
+        return RequestHooks(
+            lambda: self._send_continue(client), lambda length: self._bodies.reserved(client, length)
+        )
+
     def _wait_for_request(self, client: ClientConnection, stream: Stream) -> None:
         """Wait for the first byte of a request; raises ConnectionClosedError if the connection ends before it."""
         with client.lock:
--- a/juniperward/forwarder/config.py
+++ b/juniperward/forwarder/config.py
@@ -19,9 +19,11 @@
 from juniperward.scheduler.settings_codec import read_settings
 
 DEFAULT_MAX_SOCKETS = 1024
+DEFAULT_MEMORY_MB = 64
 DEFAULT_JOURNAL_MB = 1
 DEFAULT_SPOOL_BYTES = 50_000_000
 BYTES_PER_MB = 1_000_000
+DEFAULT_MEMORY_LIMIT_BYTES = DEFAULT_MEMORY_MB * BYTES_PER_MB
 SEED_RADIX = 16
 
 # Keys in the file by field of `Config`, for fields whose names differ from their keys.
@@ -29,6 +31,7 @@
     "state_folder": "state",
     "max_sockets": "limits.sockets",
     "journal_max_bytes": "limits.disk_mb",
+    "memory_limit_bytes": "limits.memory_mb",
     "names": "settings",
     "known_endpoints": "known",
     "spool": "kept",
@@ -79,6 +82,7 @@
         known_endpoints: The endpoint list in use until discovery's first update.
         spool: The spool of dead letters; without it they are not stored.
         control_socket: The path of the control channel; without it none is opened.
+        memory_limit_bytes: The limit on the process's memory.
 
     """
 
@@ -94,6 +98,7 @@
     known_endpoints: EndpointListUpdate
     spool: SpoolConfig | None = None
     control_socket: Path | None = None
+    memory_limit_bytes: int = DEFAULT_MEMORY_LIMIT_BYTES
 
 
 def load(environment: Mapping[str, str]) -> Config:
@@ -141,6 +146,7 @@
         known_endpoints=read_endpoint_list_update(document["known"], names),
         control_socket=_read_control_socket(document.get("control")),
         spool=_read_spool(document.get("kept")),
+        memory_limit_bytes=int(float(limits.get("memory_mb", DEFAULT_MEMORY_MB)) * BYTES_PER_MB),
     )
 
 
--- a/juniperward/forwarder/server.py
+++ b/juniperward/forwarder/server.py
@@ -11,7 +11,9 @@
 import threading
 import time
 from collections.abc import Callable, Iterator
+from dataclasses import dataclass
 
+from juniperward.forwarder.body_budget import BodyBudget, body_budget_bytes
 from juniperward.forwarder.client_connection import ClientConnection
 from juniperward.forwarder.client_session import (
     RETRY_AFTER_S,
@@ -20,6 +22,7 @@
 )
 from juniperward.forwarder.client_table import ClientTable
 from juniperward.forwarder.codec import encode_reply
+from juniperward.forwarder.config import DEFAULT_MEMORY_LIMIT_BYTES
 from juniperward.forwarder.descriptors import MAX_CLOSING_CLIENTS
 from juniperward.forwarder.events import Event
 from juniperward.forwarder.pending_requests import PendingRequests
@@ -33,6 +36,23 @@
 ACCEPT_RETRY_DELAY_S = 0.05
 
 
+@dataclass(frozen=True, slots=True)
+class ServerLimits:
+    """Limits of a server.
+
+    Attributes:
+        closing_clients: How many evicted connections may be open beyond the usual number.
+        memory_bytes: The limit on the process's memory, of which incomplete bodies may use a part.
+
+    """
+
+    closing_clients: int = MAX_CLOSING_CLIENTS
+    memory_bytes: int = DEFAULT_MEMORY_LIMIT_BYTES
+
+
+DEFAULT_LIMITS = ServerLimits()
+
+
 class Server:
     """Owns the listener and all client connections."""
 
@@ -42,7 +62,7 @@
         names: SettingsNames,
         max_clients: int,
         post: Callable[[Event], None],
-        max_closing_clients: int = MAX_CLOSING_CLIENTS,
+        limits: ServerLimits = DEFAULT_LIMITS,
     ) -> None:
         """Bind and listen; connections are accepted from `start` on.
 
@@ -51,16 +71,17 @@
             names: The names of the settings, for decoding messages.
             max_clients: The number of connections above which idle ones are evicted.
             post: Submits an event to the reducer.
-            max_closing_clients: How many evicted connections may be open beyond `max_clients`.
+            limits: Further limits.
 
         Raises:
             OSError: if the address cannot be bound.
 
         """
-        self.table = ClientTable(max_clients, max_closing_clients)
+        self.table = ClientTable(max_clients, limits.closing_clients)
         self.state = ServiceState()
         self.requests = PendingRequests()
-        self.sessions = ClientSessions(names, self.state, self.requests, post)
+        self.bodies = BodyBudget(body_budget_bytes(limits.memory_bytes))
+        self.sessions = ClientSessions(names, self.state, self.requests, self.bodies, post)
         self._closed = False
         self._accepting = threading.Thread(target=self._accept, name="listener", daemon=True)
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/juniperward/net/http_requests.py
+++ b/juniperward/net/http_requests.py
@@ -4,6 +4,8 @@
 
 import re
 from collections.abc import Callable
+from contextlib import AbstractContextManager, nullcontext
+from dataclasses import dataclass
 
 from juniperward.net.http_errors import (
     ConnectionClosedError,
@@ -30,12 +32,25 @@
 INCOMPLETE_EMPTY_LINES = (b"", b"\r")
 
 
-def _send_no_continue() -> None:
-    """Send no 100 (Continue) response."""
+@dataclass(frozen=True, slots=True)
+class RequestHooks:
+    """What a server does while it reads a request.
 
+    Attributes:
+        send_continue: called if the client expects 100 (Continue).
+        reserve_body: returns a context for the wait for the missing bytes of a body with the given length.
 
-def read_request(stream: Stream, send_continue: Callable[[], None] = _send_no_continue) -> HttpRequest:
-    """Return the next request; `send_continue` is called if the client expects 100 (Continue).
+    """
+
+    send_continue: Callable[[], None]
+    reserve_body: Callable[[int], AbstractContextManager[None]]
+
+
+NO_HOOKS = RequestHooks(lambda: None, lambda _: nullcontext())
+
+
+def read_request(stream: Stream, hooks: RequestHooks = NO_HOOKS) -> HttpRequest:
+    """Return the next request.
 
     Raises:
         ConnectionClosedError: if the client closes the connection between two requests.
@@ -52,12 +67,19 @@
     if length > MAX_BODY_BYTES:
         raise MalformedMessageError(HttpStatus.CONTENT_TOO_LARGE, "the body is too large")
     if headers.get("expect", "").lower() == "100-continue" and len(stream.buffer) < length:
-        send_continue()
-    body = stream.read_exactly(length)
+        hooks.send_continue()
+    body = _read_body(stream, length, hooks)
     path, _, _ = TARGET_START.sub(b"/", target, count=1).decode("latin-1").partition("?")
     return HttpRequest(method.decode(), path, headers, body, ends_connection(version, headers))
 
 
+def _read_body(stream: Stream, length: int, hooks: RequestHooks) -> bytes:
+    if len(stream.buffer) >= length:
+        return stream.read_exactly(length)
+    with hooks.reserve_body(length):
+        return stream.read_exactly(length)
+
+
 def _read_request_line(stream: Stream) -> tuple[bytes, bytes, bytes]:
     """Return method, target and version; empty lines before the request line are skipped."""
     _skip_empty_lines(stream)
--- a/tests/test_headers.py
+++ b/tests/test_headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import sys
 import tempfile
@@ -13,6 +14,7 @@
 
 import pytest
 
+from juniperward.forwarder.descriptors import divide_descriptors
 from juniperward.net.headers import Headers
 from juniperward.net.http_errors import IncompleteMessageError, MalformedMessageError
 from juniperward.net.http_head import MAX_BODY_BYTES, MAX_HEAD_BYTES, read_headers
@@ -24,7 +26,6 @@
 
 # Two copies of the headers are held, and the bytes received are a third until all are read.
 MAX_COPIES = 3
-MEMORY_LIMIT_MB, SOCKETS = 64, 512
 MAX_STEPS = 300
 
 
@@ -111,18 +112,30 @@
         read_request(stream_of(b"\n\r\r\n" + end))
 
 
-def test_clients_that_stop_in_the_middle_of_requests_stay_within_the_memory_limit() -> None:
-    # Guards against a third of the descriptors, each with a head of many short lines and half a body.
-    data = b"POST /api HTTP/1.1\r\nContent-Length: 65536\r\n" + short_lines(2300) + b"\r\n" + bytes(32768)
+@pytest.mark.parametrize(
+    ("memory_limit_mb", "sockets", "connections", "lines"),
+    [
+        (64, 512, 512 // 3, short_lines(2300)),
+        (32, 256, divide_descriptors(256, 1).clients, b"X-Long: " + b"x" * 15000 + b"\r\n"),
+    ],
+    ids=["a third of 512 descriptors", "all client connections of 256 descriptors"],
+)
+def test_clients_that_stop_in_the_middle_of_requests_stay_within_the_memory_limit(
+    memory_limit_mb: int, sockets: int, connections: int, lines: bytes
+) -> None:
+    # Guards against many connections, each with a long head and most of a body.
+    head = b"POST /api HTTP/1.1\r\nContent-Length: %d\r\n" % MAX_BODY_BYTES + lines + b"\r\n"
+    data = head + bytes(MAX_BODY_BYTES - 1)
     with tempfile.TemporaryDirectory() as folder:
         program = Program(Path(folder))
-        program.config["limits"] |= {"memory_mb": MEMORY_LIMIT_MB, "sockets": SOCKETS}
+        program.config["limits"] |= {"memory_mb": memory_limit_mb, "sockets": sockets}
         program.start()
         try:
-            socks = [socket.create_connection(program.address, 5.0) for _ in range(SOCKETS // 3)]
+            socks = [socket.create_connection(program.address, 5.0) for _ in range(connections)]
             for sock in socks:
-                sock.sendall(data)
-            assert most_resident_mb(program, 3.0) <= MEMORY_LIMIT_MB
+                with contextlib.suppress(ConnectionError):  # A client whose request is given up.
+                    sock.sendall(data)
+            assert most_resident_mb(program, 3.0) <= memory_limit_mb
         finally:
             program.close()
 
