Count threads and notifications that wait over 0.1 s for their turn

Cause: that messages are ended too late can have three places: the loop, the sender of notifications, or the threads of clients and calls.

Change: `threads_late_clients` and `threads_late_calls` count waits for a slot of the group, `notifications_late` waits for the sender's thread. A slot that is free is taken as before, without reading the clock.

--- a/juniperward/forwarder/client_session.py
+++ b/juniperward/forwarder/client_session.py
@@ -75,7 +75,7 @@
         """Decode messages with the names of the settings, and submit them to the reducer with `post`."""
         self._bodies = bodies
         self._names, self._state, self._requests, self._post = names, state, requests, post
-        self._limit = ConcurrencyLimit(MAX_RUNNING_THREADS)
+        self._limit = ConcurrencyLimit(MAX_RUNNING_THREADS, "clients")
 
     def serve(self, client: ClientConnection) -> None:
         """Answer requests until the connection ends; the caller closes the socket."""
--- a/juniperward/forwarder/concurrency_limit.py
+++ b/juniperward/forwarder/concurrency_limit.py
@@ -7,28 +7,61 @@
 from __future__ import annotations
 
 import queue
+import time
 from types import TracebackType
 
+from juniperward.forwarder.telemetry import increment
+
 # At each of its system calls, the loop waits for the interpreter behind at most this number of threads of a group.
 MAX_RUNNING_THREADS = 8
+# A longer wait for a slot is counted.
+MAX_WAIT_S = 0.1
+
+
+class Slots:
+    """The free slots of a limit."""
+
+    def __init__(self, count: int, group: str) -> None:
+        """Create `count` free slots; `group` names the threads in the counter of long waits."""
+        self._free: queue.SimpleQueue[None] = queue.SimpleQueue()
+        self._group = group
+        for _ in range(count):
+            self.put()
+
+    def take(self) -> None:
+        """Wait for a slot and take it."""
+        try:
+            self._free.get_nowait()
+        except queue.Empty:
+            self._wait()
+
+    def _wait(self) -> None:
+        began = time.monotonic()
+        self._free.get()
+        if time.monotonic() - began > MAX_WAIT_S:
+            increment(f"threads_late_{self._group}")
+
+    def put(self) -> None:
+        """Return a slot."""
+        self._free.put(None)
 
 
 class Blocking:
     """A context in which a thread holds no slot, because it blocks."""
 
-    def __init__(self, slots: queue.SimpleQueue[None]) -> None:
+    def __init__(self, slots: Slots) -> None:
         """Return the slot to `slots` meanwhile."""
         self._slots = slots
 
     def __enter__(self) -> None:
         """Return the slot."""
-        self._slots.put(None)
+        self._slots.put()
 
     def __exit__(
         self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
     ) -> None:
         """Wait for a slot."""
-        self._slots.get()
+        self._slots.take()
 
 
 class ConcurrencyLimit:
@@ -41,19 +74,17 @@
 
     """
 
-    def __init__(self, max_running: int) -> None:
-        """Create `max_running` free slots."""
-        self._slots: queue.SimpleQueue[None] = queue.SimpleQueue()
-        for _ in range(max_running):
-            self._slots.put(None)
+    def __init__(self, max_running: int, group: str) -> None:
+        """Create `max_running` free slots; `group` names the threads in the counter of long waits."""
+        self._slots = Slots(max_running, group)
         self.blocking = Blocking(self._slots)
 
     def __enter__(self) -> None:
         """Wait for a slot."""
-        self._slots.get()
+        self._slots.take()
 
     def __exit__(
         self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
     ) -> None:
         """Return the slot."""
-        self._slots.put(None)
+        self._slots.put()
--- a/juniperward/forwarder/endpoint_client.py
+++ b/juniperward/forwarder/endpoint_client.py
@@ -68,7 +68,7 @@
         """Start without threads; `post` takes results, `append` writes to the journal and raises OSError."""
         self.pool = ConnectionPool(limits.keepalive_s, limits.max_idle_connections)
         self.gate = SendGate()
-        self._running = ConcurrencyLimit(MAX_RUNNING_THREADS)
+        self._running = ConcurrencyLimit(MAX_RUNNING_THREADS, "calls")
         self.connections = EndpointConnections(
             self.pool, self.gate, limits.dial_timeout_s, limits.read_timeout_s, self._running.blocking
         )
--- a/juniperward/forwarder/notification_sender.py
+++ b/juniperward/forwarder/notification_sender.py
@@ -9,6 +9,7 @@
 import threading
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from juniperward.forwarder.discovery_address import AddressChangedError, DiscoveryAddress
 from juniperward.forwarder.events import Event, NotificationAcknowledged
@@ -22,6 +23,16 @@
 FIRST_BACKOFF_S = 0.05  # The backoff doubles with each failed attempt.
 MAX_BACKOFF_S = 0.4
 MAX_NOTIFICATIONS_PER_REQUEST = 200
+# A notification that waits longer for the sender's thread is counted.
+MAX_QUEUED_S = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class QueuedNotification:
+    """A notification that waits for the sender's thread, and since when (monotonic seconds)."""
+
+    notification: OutcomeNotification
+    queued_at: float
 
 
 class NotificationsRejectedError(Exception):
@@ -39,7 +50,7 @@
     def __init__(self, address: DiscoveryAddress, post: Callable[[Event], None]) -> None:
         """Send to the platform at an address; the connection is opened for the first notification."""
         self._address, self._post = address, post
-        self._queued: queue.SimpleQueue[OutcomeNotification] = queue.SimpleQueue()
+        self._queued: queue.SimpleQueue[QueuedNotification] = queue.SimpleQueue()
         self._connection: PlatformConnection | None = None
 
     def start_thread(self) -> None:
@@ -48,8 +59,9 @@
 
     def send(self, notifications: tuple[OutcomeNotification, ...]) -> None:
         """Queue notifications for delivery."""
+        queued_at = time.monotonic()
         for notification in notifications:
-            self._queued.put(notification)
+            self._queued.put(QueuedNotification(notification, queued_at))
 
     def _work(self) -> None:
         while True:
@@ -69,7 +81,11 @@
                 batch.append(self._queued.get_nowait())
         except queue.Empty:
             pass
-        return batch
+        now = time.monotonic()
+        late = sum(now - queued.queued_at > MAX_QUEUED_S for queued in batch)
+        if late:
+            increment("notifications_late", late)
+        return [queued.notification for queued in batch]
 
     def _try_deliver(self, batch: list[OutcomeNotification]) -> bool:
         """Send a batch and remove what was delivered from it; return whether nothing is left."""
--- a/tests/test_client_concurrency.py
+++ b/tests/test_client_concurrency.py
@@ -11,12 +11,13 @@
 
 import pytest
 
-from juniperward.forwarder import client_session
+from juniperward.forwarder import client_session, concurrency_limit
 from juniperward.forwarder.client_connection import ClientConnection
 from juniperward.forwarder.codec import UnreadableMessageError
-from juniperward.forwarder.concurrency_limit import MAX_RUNNING_THREADS, ConcurrencyLimit
+from juniperward.forwarder.concurrency_limit import MAX_RUNNING_THREADS, MAX_WAIT_S, ConcurrencyLimit
 from juniperward.forwarder.events import Event, MessageReceived
 from juniperward.forwarder.server import Server
+from juniperward.forwarder.telemetry import counters
 from juniperward.net import sockets
 from juniperward.net.http_responses import read_response
 from juniperward.net.stream import Stream
@@ -147,9 +148,37 @@
 
 
 def test_a_slot_is_free_again_after_an_error() -> None:
-    limit = ConcurrencyLimit(1)
+    limit = ConcurrencyLimit(1, "tests")
     for _ in range(3):
         with pytest.raises(ValueError, match="work"), limit:
             raise ValueError("work")
         with pytest.raises(ValueError, match="call"), limit, limit.blocking:
             raise ValueError("call")
+
+
+class WaitingQueue:
+    """The queue of slots in which each slot is put back only after a wait, by the clock of the module under test."""
+
+    def __init__(self, wait_s: float) -> None:
+        self.wait_s, self.now = wait_s, 0.0
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def get_nowait(self) -> None:
+        raise queue.Empty
+
+    def get(self) -> None:
+        self.now += self.wait_s
+
+
+def test_a_long_wait_for_a_slot_is_counted(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Tells threads that wait for others of their group from a late loop.
+    before = counters().get("threads_late_tests", 0)
+    for wait_s, late in ((MAX_WAIT_S, 0), (2 * MAX_WAIT_S, 1)):
+        waiting = WaitingQueue(wait_s)
+        monkeypatch.setattr(concurrency_limit, "time", waiting)
+        limit = ConcurrencyLimit(1, "tests")
+        monkeypatch.setattr(limit.blocking._slots, "_free", waiting)
+        limit.__enter__()
+        assert counters().get("threads_late_tests", 0) == before + late
--- a/tests/test_notifications.py
+++ b/tests/test_notifications.py
@@ -8,12 +8,16 @@
 import socket
 import threading
 import time
+from unittest import mock
 
+from juniperward.forwarder.discovery_address import DiscoveryAddress
 from juniperward.forwarder.discovery_client import DiscoveryClient
 from juniperward.forwarder.events import Event, NotificationAcknowledged
 from juniperward.forwarder.model import OutcomeNotification
+from juniperward.forwarder.notification_sender import MAX_QUEUED_S, NotificationSender
 from juniperward.forwarder.platform_connection import ANSWER_TIMEOUT_S
 from juniperward.forwarder.settings_names import SettingsNames
+from juniperward.forwarder.telemetry import counters
 from juniperward.net.http_errors import ConnectionClosedError, IncompleteMessageError
 from juniperward.net.http_requests import read_request
 from juniperward.net.stream import Stream
@@ -67,6 +71,18 @@
 
 
 class TestNotifications(UsesResources):
+    def test_notifications_that_wait_for_the_sender_are_counted(self) -> None:
+        # Tells a late sender from a late loop.
+        sender = NotificationSender(DiscoveryAddress(("127.0.0.1", 1)), lambda _: None)
+        before = counters().get("notifications_late", 0)
+        with mock.patch("juniperward.forwarder.notification_sender.time") as time_module:
+            time_module.monotonic.return_value = 1.0
+            sender.send((OutcomeNotification("m0"), OutcomeNotification("m1")))
+            time_module.monotonic.return_value = 1.0 + 2 * MAX_QUEUED_S
+            sender.send((OutcomeNotification("m2"),))
+            assert [notification.id for notification in sender._next_batch()] == ["m0", "m1", "m2"]
+        assert counters().get("notifications_late", 0) == before + 2
+
     def test_an_answer_byte_by_byte_does_not_delay_a_notification(self) -> None:
         # Single bytes of an answer that never ends must not extend its time limit.
         platform = Platform()
--- a/tests/test_on_call_page.py
+++ b/tests/test_on_call_page.py
@@ -18,6 +18,7 @@
     "attempts_": {outcome.name.lower() for outcome in Outcome},
     "rejections_": {"conflict", "fenced", "unknown", "stopping", "full"},
     "broken_": {"NAME"},
+    "threads_late_": {"clients", "calls"},
 }
 
 
