--- a/juniperward/forwarder/attempt_call.py
+++ b/juniperward/forwarder/attempt_call.py
@@ -59,7 +59,7 @@
         if connection.reused:
             increment("connections_reused")
         journalled = self._journal_starts(attempt, self._sendable(call, attempt, attempt.items))
-        request = self._begin_writing(call, replace(attempt, items=journalled))
+        request = self._begin_writing(call, _with_items(attempt, journalled))
         if request is None:
             # The call was cancelled, the gate closed or the messages ended during a wait, or the journal failed.
             increment("attempts_withheld")
@@ -107,11 +107,11 @@
         """
         items = attempt.items
         while items:
-            attempt = replace(attempt, items=items)
+            attempt = _with_items(attempt, items)
             data = encode_attempt(attempt, time.monotonic())
             with self._gate.lock:
                 items = self._sendable_while_locked(call, attempt, items)
-                if items == attempt.items:
+                if len(items) == len(attempt.items):
                     call.progress = AttemptProgress.WRITING
                     return PreparedRequest(attempt, data)
         return None
@@ -158,6 +158,11 @@
         return read_outcomes(attempt, answer, on_new_connection)
 
 
+def _with_items(attempt: StartAttempt, items: tuple[BatchItem, ...]) -> StartAttempt:
+    """Return the attempt with these of its messages."""
+    return attempt if len(items) == len(attempt.items) else replace(attempt, items=items)
+
+
 def _all_outcomes(
     attempt: StartAttempt, journalled: tuple[BatchItem, ...], exchanged: tuple[ItemOutcome, ...]
 ) -> tuple[ItemOutcome, ...]:
@@ -165,6 +170,8 @@
 
     The journal has the attempt of each message in `journalled`, and needs its outcome.
     """
+    if len(exchanged) == len(attempt.items):
+        return exchanged
     in_journal = {item.message for item in journalled}
     outcomes = {
         item.message: ItemOutcome(item.message, Outcome.NOT_SENT, written=item.message in in_journal)
--- a/juniperward/forwarder/client_session.py
+++ b/juniperward/forwarder/client_session.py
@@ -85,7 +85,8 @@
     def _serve(self, client: ClientConnection) -> None:
         stream = Stream(lambda size: self._receive(client, size))
         try:
-            while self._serve_next(client, stream):
+            hooks = self._hooks(client)
+            while self._serve_next(client, stream, hooks):
                 pass
         except ConnectionClosedError:
             pass
@@ -95,11 +96,11 @@
             report_fault("client", error)
             client.write(encode_reply(HttpStatus.INTERNAL_SERVER_ERROR, 0.0, True, "internal error"))
 
-    def _serve_next(self, client: ClientConnection, stream: Stream) -> bool:
+    def _serve_next(self, client: ClientConnection, stream: Stream, hooks: RequestHooks) -> bool:
         """Read one request and wait until it is answered; return whether the connection stays open."""
         self._wait_for_request(client, stream)
         try:
-            request = read_request(stream, self._hooks(client))
+            request = read_request(stream, hooks)
         except MalformedMessageError as error:
             increment("requests_malformed")
             self._reject(client, error.status, str(error))
--- a/juniperward/forwarder/concurrency_limit.py
+++ b/juniperward/forwarder/concurrency_limit.py
@@ -18,32 +18,28 @@
 MAX_WAIT_S = 0.1
 
 
-class Slots:
-    """The free slots of a limit."""
+class Slots(queue.SimpleQueue[None]):
+    """The free slots of a limit; `put(None)` returns one.
 
-    def __init__(self, count: int, group: str) -> None:
-        """Create `count` free slots; `group` names the threads in the counter of long waits."""
-        self._free: queue.SimpleQueue[None] = queue.SimpleQueue()
-        self._group = group
-        for _ in range(count):
-            self.put()
+    Attributes:
+        group: Names the threads in the counter of long waits.
+
+    """
+
+    group = ""
 
     def take(self) -> None:
         """Wait for a slot and take it."""
         try:
-            self._free.get_nowait()
+            self.get_nowait()
         except queue.Empty:
             self._wait()
 
     def _wait(self) -> None:
         began = time.monotonic()
-        self._free.get()
+        self.get()
         if time.monotonic() - began > MAX_WAIT_S:
-            increment(f"threads_late_{self._group}")
-
-    def put(self) -> None:
-        """Return a slot."""
-        self._free.put(None)
+            increment(f"threads_late_{self.group}")
 
 
 class Blocking:
@@ -55,7 +51,7 @@
 
     def __enter__(self) -> None:
         """Return the slot."""
-        self._slots.put()
+        self._slots.put(None)
 
     def __exit__(
         self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
@@ -76,7 +72,10 @@
 
     def __init__(self, max_running: int, group: str) -> None:
         """Create `max_running` free slots; `group` names the threads in the counter of long waits."""
-        self._slots = Slots(max_running, group)
+        self._slots = Slots()
+        self._slots.group = group
+        for _ in range(max_running):
+            self._slots.put(None)
         self.blocking = Blocking(self._slots)
 
     def __enter__(self) -> None:
@@ -87,4 +86,4 @@
         self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
     ) -> None:
         """Return the slot."""
-        self._slots.put()
+        self._slots.put(None)
--- a/juniperward/forwarder/connection_pool.py
+++ b/juniperward/forwarder/connection_pool.py
@@ -6,10 +6,11 @@
 
 from __future__ import annotations
 
+import contextlib
 import threading
 import time
 
-from juniperward.forwarder.endpoint_connection import EndpointConnection
+from juniperward.forwarder.endpoint_connection import NOT_LIMITED, EndpointConnection
 from juniperward.net import sockets
 
 # An idle connection is closed after this fraction of the endpoints' keepalive time.
@@ -29,8 +30,17 @@
 
     """
 
-    def __init__(self, keepalive_s: float, max_connections: int) -> None:
-        """Start empty; `keepalive_s` is the time after which endpoints close idle connections."""
+    def __init__(
+        self,
+        keepalive_s: float,
+        max_connections: int,
+        blocking: contextlib.AbstractContextManager[None] = NOT_LIMITED,
+    ) -> None:
+        """Start empty; `keepalive_s` is the time after which endpoints close idle connections.
+
+        `blocking` is entered while a thread sleeps.
+        """
+        self._blocking = blocking
         self.max_idle_s = keepalive_s * MAX_IDLE_KEEPALIVE_FRACTION
         self.max_connections = max_connections
         self.idle: dict[int, list[EndpointConnection]] = {}
@@ -49,7 +59,8 @@
                 return None
             idle_s = time.monotonic() - connection.idle_since
             if idle_s < MIN_IDLE_S:
-                time.sleep(MIN_IDLE_S - idle_s)
+                with self._blocking:
+                    time.sleep(MIN_IDLE_S - idle_s)
             if idle_s < self.max_idle_s and _is_usable(connection, address):
                 connection.reused = True
                 return connection
--- a/juniperward/forwarder/endpoint_client.py
+++ b/juniperward/forwarder/endpoint_client.py
@@ -66,11 +66,12 @@
         append: Callable[[JournalRecord], None],
     ) -> None:
         """Start without threads; `post` takes results, `append` writes to the journal and raises OSError."""
-        self.pool = ConnectionPool(limits.keepalive_s, limits.max_idle_connections)
-        self.gate = SendGate()
         self._running = ConcurrencyLimit(MAX_RUNNING_THREADS, "calls")
+        blocking = self._running.blocking
+        self.pool = ConnectionPool(limits.keepalive_s, limits.max_idle_connections, blocking)
+        self.gate = SendGate()
         self.connections = EndpointConnections(
-            self.pool, self.gate, limits.dial_timeout_s, limits.read_timeout_s, self._running.blocking
+            self.pool, self.gate, limits.dial_timeout_s, limits.read_timeout_s, blocking
         )
         self.attempts = AttemptCalls(self.connections, self.gate, append)
         self.health_checks = HealthCheckCalls(self.connections, self.gate)
--- a/juniperward/forwarder/endpoint_connection.py
+++ b/juniperward/forwarder/endpoint_connection.py
@@ -53,8 +53,12 @@
 
     def send(self, data: bytes) -> None:
         """Write a request; raises OSError."""
-        with self._blocking:
-            self.sock.sendall(data)
+        sent_bytes = 0
+        with contextlib.suppress(BlockingIOError):
+            sent_bytes = self.sock.send(data, socket.MSG_DONTWAIT)
+        if sent_bytes < len(data):
+            with self._blocking:
+                self.sock.sendall(data[sent_bytes:])
 
     def close(self) -> None:
         """Close the socket."""
--- a/juniperward/forwarder/endpoint_connections.py
+++ b/juniperward/forwarder/endpoint_connections.py
@@ -44,8 +44,7 @@
     def connect(self, call: ActiveCall) -> EndpointConnection | None:
         """Return a connection for a call, None if none can be established; sets `call.sock` to its socket."""
         address = (call.effect.host, call.effect.port)
-        with self._blocking:
-            connection = self._pool.take(call.effect.endpoint, address)
+        connection = self._pool.take(call.effect.endpoint, address)
         if connection is None:
             return self._dial(call, address)
         call.sock = connection.sock
--- a/juniperward/net/http_head.py
+++ b/juniperward/net/http_head.py
@@ -18,8 +18,8 @@
 SUPPORTED_VERSIONS = (b"HTTP/1.1", b"HTTP/1.0")
 # A line that does not begin with a name (RFC 9110: a token) and a colon.
 MALFORMED_LINE = re.compile(rb"^(?![!#$%&'*+\-.^_`|~0-9A-Za-z]+:)", re.MULTILINE)
-# Tabs are allowed, and the line feeds are those of the line ends.
-CONTROL_CHARACTER = re.compile(rb"[\x00-\x08\x0b-\x1f]")
+# All bytes but control characters; tabs are allowed, and the line feeds are those of the line ends.
+HEADER_BYTES = b"\t\n" + bytes(range(0x20, 0x100))
 TOKEN_BYTES = frozenset(b"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ")
 
 
@@ -43,7 +43,7 @@
     # The end of the last line is left out, as an empty line would begin after it.
     if MALFORMED_LINE.search(lines, 0, len(lines) - 1):
         raise MalformedMessageError(HttpStatus.BAD_REQUEST, "a header line is malformed")
-    if CONTROL_CHARACTER.search(lines):
+    if lines.translate(None, HEADER_BYTES):
         raise MalformedMessageError(HttpStatus.BAD_REQUEST, "a header has control characters")
 
 
--- a/juniperward/net/stream.py
+++ b/juniperward/net/stream.py
@@ -82,22 +82,20 @@
                 remaining_bytes -= length
                 yield self._take(length)
             if empty_line is not None:
-                self._take(empty_line.stop - empty_line.start)
+                del self.buffer[: empty_line.stop - empty_line.start]
                 return
             searched = len(self.buffer)
             self.read_more()
 
     def _find_empty_line(self) -> slice | None:
         """Return the place of the first empty line; the buffer begins at the start of a line."""
-        for line_end in LINE_ENDS:
-            if self.buffer.startswith(line_end):
-                return slice(0, len(line_end))
-        found = [
-            slice(at + 1, at + 1 + len(line_end))
-            for line_end in LINE_ENDS
-            if (at := self.buffer.find(b"\n" + line_end)) >= 0
-        ]
-        return min(found, key=lambda place: place.start, default=None)
+        if self.buffer.startswith(LINE_ENDS):
+            return slice(0, self.buffer.index(b"\n") + 1)
+        end = self.buffer.find(b"\n\r\n")
+        bare_end = self.buffer.find(b"\n\n", 0, end + 1 if end >= 0 else len(self.buffer))
+        if bare_end >= 0:
+            return slice(bare_end + 1, bare_end + 2)
+        return slice(end + 1, end + 3) if end >= 0 else None
 
     def _take(self, length: int) -> bytes:
         """Remove and return the first bytes of the buffer."""
--- a/tests/test_client_concurrency.py
+++ b/tests/test_client_concurrency.py
@@ -14,7 +14,7 @@
 from juniperward.forwarder import client_session, concurrency_limit
 from juniperward.forwarder.client_connection import ClientConnection
 from juniperward.forwarder.codec import UnreadableMessageError
-from juniperward.forwarder.concurrency_limit import MAX_RUNNING_THREADS, MAX_WAIT_S, ConcurrencyLimit
+from juniperward.forwarder.concurrency_limit import MAX_RUNNING_THREADS, MAX_WAIT_S, ConcurrencyLimit, Slots
 from juniperward.forwarder.events import Event, MessageReceived
 from juniperward.forwarder.server import Server
 from juniperward.forwarder.telemetry import counters
@@ -178,7 +178,9 @@
     for wait_s, late in ((MAX_WAIT_S, 0), (2 * MAX_WAIT_S, 1)):
         waiting = WaitingQueue(wait_s)
         monkeypatch.setattr(concurrency_limit, "time", waiting)
-        limit = ConcurrencyLimit(1, "tests")
-        monkeypatch.setattr(limit.blocking._slots, "_free", waiting)
-        limit.__enter__()
+        slots = Slots()
+        slots.group = "tests"
+        monkeypatch.setattr(slots, "get_nowait", waiting.get_nowait)
+        monkeypatch.setattr(slots, "get", waiting.get)
+        slots.take()
         assert counters().get("threads_late_tests", 0) == before + late
--- a/tests/test_headers.py
+++ b/tests/test_headers.py
@@ -164,6 +164,13 @@
         with pytest.raises(MalformedMessageError, match="x-time-left stands twice"):
             read_headers(stream_of(b"X-Time-Left: 1\r\nA: b\r\nx-time-left: 1\r\n\r\n"))
 
+    def test_the_first_empty_line_ends_the_headers_whatever_its_line_end(self) -> None:
+        for empty, rest in ((b"\n", b"\r\n"), (b"\r\n", b"\n"), (b"\n", b"\n"), (b"\r\n", b"\r\n")):
+            for line_end in (b"\n", b"\r\n"):
+                stream = stream_of(b"A: b" + line_end + empty + rest)
+                assert dict(read_headers(stream)) == {"a": "b"}
+                assert stream.buffer == rest
+
     def test_no_headers(self) -> None:
         for text in (b"\r\n", b"\n"):
             assert dict(read_headers(stream_of(text))) == {}
