See a client's end of input behind unread requests, so that nothing is accepted after it

A client that sent many requests at once and closed had some of them accepted and called afterwards: is_closed_by_peer peeked at the first byte, and behind unread bytes saw no end. Now poll() is asked for POLLRDHUP, which the kernel reports as soon as the end has arrived; peeking remains where poll() reports input without it.

--- a/juniperward/net/sockets.py
+++ b/juniperward/net/sockets.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import contextlib
+import select
 import socket
 import struct
 import time
 
 MICROSECONDS_PER_S = 1_000_000
+# Events of poll() that tell that the peer has ended its side or that the connection is broken.
+END_OF_INPUT = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
 class ConnectTimeoutError(TimeoutError):
@@ -44,7 +47,26 @@
 
 
 def is_closed_by_peer(sock: socket.socket) -> bool:
-    """Return whether the peer has closed or reset the connection, without waiting or reading."""
+    """Return whether the peer has ended its side of the connection, or reset it, without waiting or reading.
+
+    An end of input counts as soon as it has arrived, also while bytes in front of it are unread.
+    """
+    if sock.fileno() < 0:
+        return True
+    poll = select.poll()
+    poll.register(sock, select.POLLIN | END_OF_INPUT)
+    try:
+        polled = poll.poll(0)
+    except OSError:
+        return _has_read_all_input(sock)
+    if not polled:
+        return False
+    _, events = polled[0]
+    return bool(events & END_OF_INPUT) or _has_read_all_input(sock)
+
+
+def _has_read_all_input(sock: socket.socket) -> bool:
+    """Return whether the next read would return the end of input or an error."""
     try:
         return sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
     except BlockingIOError:
