Limit how many long answers of endpoints are received at the same time

Each call may receive an answer of 16 KiB of header lines and 64 KiB of body, whatever its memory limit: with 256 calls 20 MiB and more. An answer of over 4 KiB now needs a permit, which it waits for within the 0.5 s that it has for its transfer; without one it counts as incomplete, as a spoilt answer does. Bodies are received in parts and joined, in place of a growing buffer that was copied twice.

--- a/juniperward/forwarder/endpoint_client.py
+++ b/juniperward/forwarder/endpoint_client.py
@@ -19,14 +19,19 @@
 from juniperward.forwarder.concurrency_limit import MAX_RUNNING_THREADS, ConcurrencyLimit
 from juniperward.forwarder.connection_pool import ConnectionPool
 from juniperward.forwarder.effects import StartAttempt, StartHealthCheck
-from juniperward.forwarder.endpoint_connection import MIN_READ_TIMEOUT_S
+from juniperward.forwarder.endpoint_connection import (
+    MAX_LARGE_ANSWERS,
+    MIN_READ_TIMEOUT_S,
+    AnswerLimits,
+    LargeAnswers,
+)
 from juniperward.forwarder.endpoint_connections import EndpointConnections
 from juniperward.forwarder.events import AttemptAnswered, Event, HealthCheckAnswered
 from juniperward.forwarder.health_check_call import HealthCheckCalls, health_check_without_answer
 from juniperward.forwarder.model import AttemptProgress, RouteKey
 from juniperward.forwarder.records import JournalRecord
 from juniperward.forwarder.send_gate import SendGate
-from juniperward.forwarder.telemetry import report_fault
+from juniperward.forwarder.telemetry import record_peak, report_fault
 from juniperward.net import sockets
 from juniperward.scheduler.events import Outcome
 
@@ -38,6 +43,7 @@
     Attributes:
         keepalive_s: the time after which endpoints close idle connections.
         read_timeout_s: the longest time to wait for an answer; at least MIN_READ_TIMEOUT_S is used.
+        max_large_answers: how many long answers may be received at the same time.
 
     """
 
@@ -46,6 +52,7 @@
     max_threads: int
     max_idle_connections: int
     read_timeout_s: float = MIN_READ_TIMEOUT_S
+    max_large_answers: int = MAX_LARGE_ANSWERS
 
 
 class EndpointClient:
@@ -70,9 +77,10 @@
         blocking = self._running.blocking
         self.pool = ConnectionPool(limits.keepalive_s, limits.max_idle_connections, blocking)
         self.gate = SendGate()
-        self.connections = EndpointConnections(
-            self.pool, self.gate, limits.dial_timeout_s, limits.read_timeout_s, blocking
+        answer_limits = AnswerLimits(
+            max(limits.read_timeout_s, MIN_READ_TIMEOUT_S), LargeAnswers(limits.max_large_answers), blocking
         )
+        self.connections = EndpointConnections(self.pool, self.gate, limits.dial_timeout_s, answer_limits)
         self.attempts = AttemptCalls(self.connections, self.gate, append)
         self.health_checks = HealthCheckCalls(self.connections, self.gate)
         self.max_threads = limits.max_threads
@@ -95,6 +103,7 @@
             else:
                 self.free_threads -= 1
         if needs_thread:
+            record_peak("calls", self.threads)
             self._start_thread()
         self.submitted.put(call)
 
--- a/juniperward/forwarder/endpoint_connection.py
+++ b/juniperward/forwarder/endpoint_connection.py
@@ -4,8 +4,11 @@
 
 import contextlib
 import socket
+import threading
 import time
+from dataclasses import dataclass
 
+from juniperward.forwarder.telemetry import increment
 from juniperward.net import sockets
 from juniperward.net.stream import Stream
 
@@ -13,10 +16,52 @@
 MIN_READ_TIMEOUT_S = 60.0
 # The time limit from the first byte of an answer to the last.
 MAX_ANSWER_TRANSFER_S = 0.5
+# What is read of an answer at once; a longer answer needs a permit.
+READ_BYTES = 4096
+MAX_LARGE_ANSWERS = 16
 # The context for operations that may block, of a connection whose threads are not limited.
 NOT_LIMITED: contextlib.AbstractContextManager[None] = contextlib.nullcontext()
 
 
+class LargeAnswers:
+    """Permits to receive an answer that is longer than what is read at once; safe to call from any thread."""
+
+    def __init__(self, max_answers: int) -> None:
+        """Give up to `max_answers` permits at the same time."""
+        self._permits = threading.BoundedSemaphore(max_answers)
+
+    def begin(self, timeout_s: float) -> None:
+        """Wait for a permit; raises TimeoutError if there is none in time."""
+        if not self._permits.acquire(timeout=max(timeout_s, 0.0)):
+            increment("answers_without_memory")
+            raise TimeoutError
+
+    def end(self) -> None:
+        """Return a permit."""
+        self._permits.release()
+
+
+DEFAULT_LARGE_ANSWERS = LargeAnswers(MAX_LARGE_ANSWERS)
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerLimits:
+    """What limits the reads of the answers of all connections.
+
+    Attributes:
+        read_timeout_s: How long a read takes at most where no deadline is set.
+        large_answers: Permits for large answers.
+        blocking: Is entered for each read and write.
+    """
+
+    read_timeout_s: float = MIN_READ_TIMEOUT_S
+    large_answers: LargeAnswers = DEFAULT_LARGE_ANSWERS
+    blocking: contextlib.AbstractContextManager[None] = NOT_LIMITED
+
+
+DEFAULT_ANSWER_LIMITS = AnswerLimits()
+
+
 class EndpointConnection:
     """A connection to an endpoint; used by one thread at a time.
 
@@ -32,16 +77,14 @@
         self,
         sock: socket.socket,
         address: tuple[str, int],
-        read_timeout_s: float = MIN_READ_TIMEOUT_S,
-        blocking: contextlib.AbstractContextManager[None] = NOT_LIMITED,
+        limits: AnswerLimits = DEFAULT_ANSWER_LIMITS,
     ) -> None:
-        """Use a connected socket; a read takes `read_timeout_s` at most where no deadline is set.
-
-        `blocking` is entered for each read and write.
-        """
-        self._blocking = blocking
-        self.sock, self.address, self.read_timeout_s = sock, address, read_timeout_s
-        self.stream = Stream(self._receive)
+        """Use a connected socket; `limits` are shared with other connections."""
+        self.sock, self.address, self._limits = sock, address, limits
+        self._blocking = limits.blocking
+        self.stream = Stream(self._receive, READ_BYTES)
+        self._answer_bytes = 0
+        self._has_permit = False
         self.idle_since = time.monotonic()
         self.reused = False
         self.transfer_deadline: float | None = None
@@ -62,16 +105,34 @@
 
     def close(self) -> None:
         """Close the socket."""
+        self.end_answer()
         self.sock.close()
 
     def _receive(self, size: int) -> bytes:
         """Return at most `size` bytes; raises TimeoutError or BlockingIOError at a time limit."""
+        if self._answer_bytes >= READ_BYTES and not self._has_permit:
+            with self._blocking:
+                self._limits.large_answers.begin(self._remaining_s())
+            self._has_permit = True
+        sockets.set_timeout(self.sock, socket.SO_RCVTIMEO, self._remaining_s())
+        with self._blocking:
+            data = self.sock.recv(size)
+        self._answer_bytes += len(data)
+        return data
+
+    def _remaining_s(self) -> float:
+        """Return how long a read may take; raises TimeoutError at a time limit."""
         deadlines = [
             deadline for deadline in (self.transfer_deadline, self.answer_deadline) if deadline is not None
         ]
-        timeout_s = min(deadlines) - time.monotonic() if deadlines else self.read_timeout_s
+        timeout_s = min(deadlines) - time.monotonic() if deadlines else self._limits.read_timeout_s
         if timeout_s <= 0:
             raise TimeoutError
-        sockets.set_timeout(self.sock, socket.SO_RCVTIMEO, timeout_s)
-        with self._blocking:
-            return self.sock.recv(size)
+        return timeout_s
+
+    def end_answer(self) -> None:
+        """Return the permit for a large answer, once the answer is not held any more."""
+        self._answer_bytes = 0
+        if self._has_permit:
+            self._has_permit = False
+            self._limits.large_answers.end()
--- a/juniperward/forwarder/endpoint_connections.py
+++ b/juniperward/forwarder/endpoint_connections.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import socket
 import time
 
@@ -13,7 +12,11 @@
 from juniperward.forwarder.address import format_address
 from juniperward.forwarder.answer_headers import read_retry_after
 from juniperward.forwarder.connection_pool import ConnectionPool
-from juniperward.forwarder.endpoint_connection import MIN_READ_TIMEOUT_S, NOT_LIMITED, EndpointConnection
+from juniperward.forwarder.endpoint_connection import (
+    DEFAULT_ANSWER_LIMITS,
+    AnswerLimits,
+    EndpointConnection,
+)
 from juniperward.forwarder.model import AttemptProgress
 from juniperward.forwarder.send_gate import SendGate, route_of
 from juniperward.forwarder.telemetry import increment, log
@@ -29,17 +32,15 @@
         pool: ConnectionPool,
         gate: SendGate,
         dial_timeout_s: float,
-        read_timeout_s: float = MIN_READ_TIMEOUT_S,
-        blocking: contextlib.AbstractContextManager[None] = NOT_LIMITED,
+        limits: AnswerLimits = DEFAULT_ANSWER_LIMITS,
     ) -> None:
         """Use the idle connections of `pool`; a Retry-After in an answer pauses its route at `gate`.
 
-        `blocking` is entered for each operation that may block.
+        `limits` are those of the reads of all connections.
         """
-        self._blocking = blocking
+        self._limits, self._blocking = limits, limits.blocking
         self._pool, self._gate = pool, gate
         self.dial_timeout_s = dial_timeout_s
-        self.read_timeout_s = max(read_timeout_s, MIN_READ_TIMEOUT_S)
 
     def connect(self, call: ActiveCall) -> EndpointConnection | None:
         """Return a connection for a call, None if none can be established; sets `call.sock` to its socket."""
@@ -77,7 +78,7 @@
             )
             return None
         increment("connections_opened")
-        return EndpointConnection(sock, address, self.read_timeout_s, self._blocking)
+        return EndpointConnection(sock, address, self._limits)
 
     def put_back(self, call: ActiveCall, connection: EndpointConnection) -> None:
         """Put back a connection on which nothing was sent."""
@@ -96,6 +97,7 @@
             if not call.cancelled:
                 # A cancellation is too late from now on: the outcome counts.
                 call.progress = AttemptProgress.FINISHED
+        connection.end_answer()
         if answer.close or call.cancelled or connection.stream.buffer:
             connection.close()
         else:
--- a/juniperward/net/stream.py
+++ b/juniperward/net/stream.py
@@ -19,22 +19,28 @@
     MessageTimeoutError if `receive` times out.
     """
 
-    def __init__(self, receive: Callable[[int], bytes]) -> None:
-        """Read with `receive`, which returns at most the requested number of bytes, and none at end of input."""
-        self.receive = receive
+    def __init__(self, receive: Callable[[int], bytes], read_bytes: int = READ_BYTES) -> None:
+        """Read with `receive`, which returns at most the requested number of bytes, and none at end of input.
+
+        Reads ahead by less than `read_bytes`.
+        """
+        self.receive, self._read_bytes = receive, read_bytes
         self.buffer = bytearray()
 
     def read_more(self) -> None:
         """Receive bytes and append them to the buffer."""
+        self.buffer += self._receive(self._read_bytes)
+
+    def _receive(self, size: int) -> bytes:
         try:
-            data = self.receive(READ_BYTES)
+            data = self.receive(size)
         except (TimeoutError, BlockingIOError) as error:
             raise MessageTimeoutError from error
         except ConnectionError as error:
             raise IncompleteMessageError(str(error)) from error
         if not data:
             raise IncompleteMessageError(CLOSED_BY_PEER)
-        self.buffer += data
+        return data
 
     def read_line(self, max_bytes: int, too_long_status: int) -> bytes:
         """Return the next line without its line end.
@@ -99,15 +105,24 @@
 
     def _take(self, length: int) -> bytes:
         """Remove and return the first bytes of the buffer."""
-        data = bytes(self.buffer[:length])
+        with memoryview(self.buffer) as view:
+            data = bytes(view[:length])
         del self.buffer[:length]
         return data
 
     def read_exactly(self, length: int) -> bytes:
         """Return the next `length` bytes."""
-        while len(self.buffer) < length:
-            self.read_more()
-        return self._take(length)
+        remaining_bytes = length - len(self.buffer)
+        if remaining_bytes <= 0:
+            return self._take(length)
+        parts = [self._take(len(self.buffer))]
+        while remaining_bytes > 0:
+            part = self._receive(min(READ_BYTES, max(remaining_bytes, self._read_bytes)))
+            parts.append(part)
+            remaining_bytes -= len(part)
+        data = b"".join(parts)
+        self.buffer += data[length:]
+        return data[:length]
 
     def read_to_end(self, max_bytes: int) -> bytes:
         """Return all bytes up to the end of the stream; raises MalformedMessageError above `max_bytes`."""
