Divide the memory limit between what clients, calls and messages can take

What callers saw: with hundreds of clients connected at once a process passed its memory limit and was killed. Cause: descriptors were divided, memory was not. Each connection had a thread (28 KiB resting), each request its head, its body and their copies, and the reducer's queue the messages of requests that had been rejected as overdue; nothing but incomplete bodies was held to memory_mb. The class is memory that grows with a number that peers choose.

Fix: memory_limits.py divides memory_mb. Connections that rest, have sent nothing or are to be closed have no thread: one thread waits for their input with epoll, and discards that of lingering ones. A limited number of threads serve those with input, usual connections first. A request that is not whole needs a permit for the largest body; without one the connection waits with 2 KiB read at most, and at most 250 a second are given up for others, since each costs time of the interpreter. Whole messages count until the reducer has answered, accepted ones until they end, ids of completed ones until they are forgotten. What finds no share gets 503. The connection table closes lingering connections first. Gauges tell which share was exhausted.

--- a/juniperward/forwarder/client_session.py
+++ b/juniperward/forwarder/client_session.py
@@ -1,4 +1,4 @@
-"""Reads and answers the requests of a client connection, one at a time, on the connection's thread.
+"""Reads and answers the requests of a client connection, one at a time, on a thread of `client_threads.py`.
 
 A message is posted to the reducer as `MessageReceived` with the number of its request, and the loop writes its answer
 (`server.py`). All other requests, and messages that the reducer does not answer in time, are answered here.
@@ -11,38 +11,37 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 
-from juniperward.forwarder.body_budget import BodyBudget
 from juniperward.forwarder.client_connection import (
     IDLE_TIMEOUT_S,
     READ_BYTES,
     REQUEST_TIMEOUT_S,
     ClientConnection,
 )
+from juniperward.forwarder.client_threads import ClientThreads
 from juniperward.forwarder.codec import MESSAGE_PATH, UnreadableMessageError, decode_message, encode_reply
 from juniperward.forwarder.concurrency_limit import MAX_RUNNING_THREADS, ConcurrencyLimit
 from juniperward.forwarder.events import Event, MessageReceived
 from juniperward.forwarder.health_page import answer_page
+from juniperward.forwarder.incomplete_requests import IncompleteRequests
 from juniperward.forwarder.pending_requests import PendingRequests
+from juniperward.forwarder.request_budget import RequestBudget
+from juniperward.forwarder.request_reader import RETRY_AFTER_S, PermitNeededError, RequestReader
 from juniperward.forwarder.settings_names import SettingsNames
 from juniperward.forwarder.telemetry import increment, report_fault
 from juniperward.net import sockets
-from juniperward.net.http_errors import (
-    ConnectionClosedError,
-    IncompleteMessageError,
-    MalformedMessageError,
-    MessageTimeoutError,
-)
-from juniperward.net.http_requests import RequestHooks, read_request
+from juniperward.net.http_errors import ConnectionClosedError, IncompleteMessageError
 from juniperward.net.http_status import HttpStatus
 from juniperward.net.http_values import HttpRequest
 from juniperward.net.stream import Stream
 
 # The time limit for the reducer's answer to a message. It is shorter than the 0.4 s that clients wait.
 ANSWER_TIMEOUT_S = 0.35
-# The Retry-After of rejections that are not made by the reducer.
-RETRY_AFTER_S = 1.0
-CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# While threads are plentiful, a connection keeps its thread for this time after an answer.
+KEEP_THREAD_S = 1.0
+# Connections with larger requests get their threads after the others.
+MAX_USUAL_REQUEST_BYTES = 8192
 
 
 @dataclass(slots=True)
@@ -61,60 +60,88 @@
     draining: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class ClientResources:
+    """What all connections share: permits and memory for their requests, and the threads that serve them."""
+
+    incomplete: IncompleteRequests
+    budget: RequestBudget
+    threads: ClientThreads
+
+
+class NextStep(Enum):
+    """What happens to a connection after its thread has served it.
+
+    Attributes:
+        REST: It waits for the first byte of a request, without a thread.
+        QUEUE: It waits for a permit to read the rest of a request.
+        YIELD: Its next request has arrived, and is served after those of connections that have waited.
+        LINGER: It is closed once its unread input has been discarded.
+        CLOSE: It is closed.
+
+    """
+
+    REST = "rest"
+    QUEUE = "queue"
+    YIELD = "yield"
+    LINGER = "linger"
+    CLOSE = "close"
+
+
 class ClientSessions:
-    """Serves client connections; `serve` is called on a separate thread for each connection."""
+    """Serves client connections; `serve` may be called on any number of threads, on one for each connection."""
 
     def __init__(
         self,
         names: SettingsNames,
         state: ServiceState,
         requests: PendingRequests,
-        bodies: BodyBudget,
+        resources: ClientResources,
         post: Callable[[Event], None],
     ) -> None:
         """Decode messages with the names of the settings, and submit them to the reducer with `post`."""
-        self._bodies = bodies
         self._names, self._state, self._requests, self._post = names, state, requests, post
+        self._budget, self._threads = resources.budget, resources.threads
+        self._incomplete = resources.incomplete
         self._limit = ConcurrencyLimit(MAX_RUNNING_THREADS, "clients")
+        self._reader = RequestReader(resources.incomplete, self._limit)
 
-    def serve(self, client: ClientConnection) -> None:
-        """Answer requests until the connection ends; the caller closes the socket."""
+    def serve(self, client: ClientConnection) -> NextStep:
+        """Answer requests until the connection needs no thread, and return what happens to it then."""
         with self._limit:
-            self._serve(client)
+            return self._serve(client)
 
-    def _serve(self, client: ClientConnection) -> None:
-        stream = Stream(lambda size: self._receive(client, size))
+    def _serve(self, client: ClientConnection) -> NextStep:
+        stream = self._reader.open_stream(client)
+        next_step: NextStep | None = None
         try:
-            hooks = self._hooks(client)
-            while self._serve_next(client, stream, hooks):
-                pass
+            while next_step is None:
+                next_step = self._serve_next(client, stream)
+        except PermitNeededError:
+            stream.buffer = bytearray(client.unparsed)
+            client.resumes = True
+            next_step = NextStep.QUEUE
         except ConnectionClosedError:
-            pass
+            next_step = NextStep.CLOSE
         except (IncompleteMessageError, OSError):
             increment("clients_broken")
+            next_step = NextStep.CLOSE
         except Exception as error:
             report_fault("client", error)
             client.write(encode_reply(HttpStatus.INTERNAL_SERVER_ERROR, 0.0, True, "internal error"))
-
-    def _serve_next(self, client: ClientConnection, stream: Stream, hooks: RequestHooks) -> bool:
-        """Read one request and wait until it is answered; return whether the connection stays open."""
-        self._wait_for_request(client, stream)
-        try:
-            request = read_request(stream, hooks)
-        except MalformedMessageError as error:
-            increment("requests_malformed")
-            self._reject(client, error.status, str(error))
-            return False
-        except MessageTimeoutError:
-            increment("requests_timed_out")
-            self._reject(client, HttpStatus.REQUEST_TIMEOUT, "the call was not whole in time")
-            return False
-        except IncompleteMessageError:
-            if not client.given_up:
-                raise
-            self._reject(client, HttpStatus.SERVICE_UNAVAILABLE, "too many incomplete requests")
-            return False
+            next_step = NextStep.CLOSE
+        self._incomplete.end(client)
+        return next_step
+
+    def _serve_next(self, client: ClientConnection, stream: Stream) -> NextStep | None:
+        """Read one request and wait until it is answered; return None if the next one is to be waited for."""
+        if not self._wait_for_request(client, stream):
+            return NextStep.REST
+        request = self._reader.read(client, stream)
+        if request is None:
+            return NextStep.LINGER
         client.served = True
+        client.is_bulky = client.request_bytes > MAX_USUAL_REQUEST_BYTES or bool(stream.buffer)
         if request.path == MESSAGE_PATH and request.method == "POST":
             client.close_after_answer = request.close
             self._serve_message(client, request)
@@ -122,30 +149,46 @@
             ready = self._state.ready and not self._state.stopping
             client.write(answer_page(request, ready, request.close or self._state.stopping))
         if request.close or client.close_after_answer or self._state.stopping:
-            self._linger(client)
-            return False
-        return True
+            return NextStep.LINGER
+        return self._after_answer(client, stream)
 
-    def _hooks(self, client: ClientConnection) -> RequestHooks:
-        return RequestHooks(
-            lambda: self._send_continue(client), lambda length: self._bodies.reserved(client, length)
-        )
+    def _after_answer(self, client: ClientConnection, stream: Stream) -> NextStep | None:
+        """Return what happens after an answer that does not end the connection."""
+        if not client.is_writable:
+            return NextStep.CLOSE
+        return NextStep.YIELD if stream.buffer and self._threads.is_short else None
 
-    def _wait_for_request(self, client: ClientConnection, stream: Stream) -> None:
-        """Wait for the first byte of a request; raises ConnectionClosedError if the connection ends before it."""
+    def _wait_for_request(self, client: ClientConnection, stream: Stream) -> bool:
+        """Wait for the first byte of a request; return False if it is to be waited for without a thread.
+
+        Raises ConnectionClosedError if the connection ends before it.
+        """
+        if client.resumes:
+            client.resumes = False
+            return True
+        if not client.is_readable:
+            self._begin_waiting(client, stream)
+        while not stream.buffer:
+            data = self._receive_first(client)
+            if data is None:
+                return False
+            stream.buffer += data
+        client.unparsed = bytes(stream.buffer)
+        with client.lock:
+            client.idle = False
+        if client.served or not self._state.stopping:
+            client.read_deadline = time.monotonic() + REQUEST_TIMEOUT_S
+        return True
+
+    def _begin_waiting(self, client: ClientConnection, stream: Stream) -> None:
         with client.lock:
             client.idle = True
+        client.request_bytes = len(stream.buffer)
         if self._state.stopping and client.served and not stream.buffer and sockets.is_reusable(client.sock):
             raise ConnectionClosedError
         if client.served:
             client.idle_since = time.monotonic()
             client.read_deadline = client.idle_since + IDLE_TIMEOUT_S
-        while not stream.buffer:
-            stream.buffer += self._receive_first(client)
-        with client.lock:
-            client.idle = False
-        if client.served or not self._state.stopping:
-            client.read_deadline = time.monotonic() + REQUEST_TIMEOUT_S
 
     def _serve_message(self, client: ClientConnection, request: HttpRequest) -> None:
         """Submit a message to the reducer, and reject it if the reducer does not answer in time.
@@ -159,50 +202,54 @@
             increment("requests_unreadable")
             client.write(encode_reply(HttpStatus.BAD_REQUEST, 0.0, close, str(error)))
             return
-        self._post(MessageReceived(self._requests.add(client), message, client.received_at))
+        if client.is_bulky and sockets.is_closed_by_peer(client.sock):
+            # Its other requests need no work of the loop; those of other connections are checked there only.
+            increment("clients_disconnected")
+            client.write(encode_reply(HttpStatus.SERVICE_UNAVAILABLE, RETRY_AFTER_S, close))
+            return
+        number = self._requests.add(client)
+        if not self._budget.reserve(number, message):
+            increment("rejections_memory")
+            self._reject_pending(client, close)
+            return
+        self._post(MessageReceived(number, message, client.received_at))
         with self._limit.blocking:
             answered = client.answered.wait(ANSWER_TIMEOUT_S)
         if answered:
             return
+        # The reducer's answer is then dropped as late, and the message is withdrawn.
+        if self._reject_pending(client, request.close or self._state.stopping):
+            increment("rejections_overdue")
+
+    def _reject_pending(self, client: ClientConnection, close: bool) -> bool:
+        """Reject the pending request of a connection; return False if it has been answered meanwhile."""
         with client.lock:
             if client.pending_request is None:
-                return
-            # The reducer's answer is then dropped as late, and the message is withdrawn.
+                return False
             self._requests.end(client)
-            increment("rejections_overdue")
-            close = request.close or self._state.stopping
             client.write(encode_reply(HttpStatus.SERVICE_UNAVAILABLE, RETRY_AFTER_S, close))
+        return True
 
-    def _reject(self, client: ClientConnection, status: int, text: str) -> None:
-        """Reject a request that cannot be read, and prepare the connection for its close."""
-        client.write(encode_reply(status, 0.0, True, text))
-        self._linger(client)
+    def _receive_first(self, client: ClientConnection) -> bytes | None:
+        """Return the first bytes of a request, None if the connection is to rest until they arrive.
 
-    def _receive_first(self, client: ClientConnection) -> bytes:
-        """Return the first bytes of a request; raises ConnectionClosedError at end of input or the time limit."""
+        Raises ConnectionClosedError at the end of input.
+        """
         try:
-            data = self._receive(client, READ_BYTES)
+            if client.is_readable:
+                client.is_readable = False
+                data = client.receive_available(READ_BYTES)
+                # The time left of a message does not begin after the wait for a thread.
+                client.received_at = client.readable_at
+            elif client.served and self._threads.has_spare:
+                with self._limit.blocking:
+                    data = client.receive(READ_BYTES, KEEP_THREAD_S)
+            else:
+                return None
         except (BlockingIOError, TimeoutError):
-            increment("clients_idle" if client.served else "clients_without_request")
-            # A request may arrive now; closing with it unread would reset the connection.
-            self._linger(client)
-            raise ConnectionClosedError from None
+            return None
         except ConnectionError as error:
             raise ConnectionClosedError from error
         if not data:
             raise ConnectionClosedError
         return data
-
-    # --- calls that may block ---------------------------------------------------------------------------
-
-    def _receive(self, client: ClientConnection, size: int) -> bytes:
-        with self._limit.blocking:
-            return client.receive(size)
-
-    def _send_continue(self, client: ClientConnection) -> None:
-        with self._limit.blocking:
-            client.sock.sendall(CONTINUE)
-
-    def _linger(self, client: ClientConnection) -> None:
-        with self._limit.blocking:
-            client.linger()
--- a/juniperward/forwarder/client_table.py
+++ b/juniperward/forwarder/client_table.py
@@ -34,6 +34,11 @@
         with self._lock:
             return len(self.clients)
 
+    @property
+    def is_full(self) -> bool:
+        """Whether there are as many connections as may be open without evictions."""
+        return len(self.clients) >= self.max_clients
+
     def get(self, number: int) -> ClientConnection | None:
         """Return a connection by its number, or None if it is not in the table."""
         with self._lock:
@@ -90,4 +95,4 @@
 
 def _may_be_evicted(client: ClientConnection, now: float) -> bool:
     min_idle_s = MIN_IDLE_SERVED_S if client.served else MIN_IDLE_UNSERVED_S
-    return client.idle and not client.evicted and now - client.idle_since >= min_idle_s
+    return client.idle and not client.lingers and not client.evicted and now - client.idle_since >= min_idle_s
--- a/juniperward/forwarder/model.py
+++ b/juniperward/forwarder/model.py
@@ -43,6 +43,16 @@
         return replace(self, time_left_s=other.time_left_s, executed_ago_s=other.executed_ago_s) == other
 
 
+# The objects of a message beside its texts and its body.
+MESSAGE_OVERHEAD_BYTES = 512
+
+
+def message_bytes(message: Message) -> int:
+    """Return the memory that a message takes, in bytes; what is shared with other messages does not count."""
+    key_length = len(message.idempotency_key or "")
+    return len(message.body) + key_length + len(message.id) + MESSAGE_OVERHEAD_BYTES
+
+
 @dataclass(frozen=True, slots=True)
 class Endpoint:
     """An entry of discovery's list; `id` is discovery's, and `listed_rate_per_s` is 0 if none is listed."""
--- a/juniperward/forwarder/reducer/completion.py
+++ b/juniperward/forwarder/reducer/completion.py
@@ -33,17 +33,20 @@
         messages.remove(pending)
         # A redrive that was deferred is submitted again under the same id.
         if not is_redrive(pending):
-            messages.completed[pending.message.id] = self._round.now
+            messages.add_completed(pending.message.id, self._round.now)
 
     def drop_completed_ids(self) -> None:
-        """Drop ids older than the longest deadline, and the oldest ids beyond MAX_COMPLETED_IDS."""
-        completed = self._round.state.messages.completed
+        """Drop ids older than the longest deadline, and the oldest ids beyond the limits."""
+        messages = self._round.state.messages
+        completed = messages.completed
+        max_bytes = self._round.message_limits.completed_id_bytes
         longest_deadline_s = max(message_class.deadline_s for message_class in self._round.settings.classes)
         while completed:
             message_id, completed_at = next(iter(completed.items()))
-            if len(completed) <= MAX_COMPLETED_IDS and self._round.now < completed_at + longest_deadline_s:
+            fits = len(completed) <= MAX_COMPLETED_IDS and messages.completed_bytes <= max_bytes
+            if fits and self._round.now < completed_at + longest_deadline_s:
                 return
-            del completed[message_id]
+            messages.drop_completed(message_id)
 
     def complete(self, pending: PendingMessage, delivered: bool) -> None:
         """Complete a message that has a final response from an endpoint."""
--- a/juniperward/forwarder/reducer/intake.py
+++ b/juniperward/forwarder/reducer/intake.py
@@ -13,14 +13,14 @@
     ReplyToClient,
 )
 from juniperward.forwarder.events import MessageReceived
-from juniperward.forwarder.model import Message
+from juniperward.forwarder.model import MESSAGE_OVERHEAD_BYTES, Message, message_bytes
 from juniperward.forwarder.records import AcceptedRecord, CompletedRecord, RecordedAttempt, RestoredMessage
 from juniperward.forwarder.reducer.completion import Completion
 from juniperward.forwarder.reducer.dead_letters import DeadLetters
 from juniperward.forwarder.reducer.notifications import Notifications
 from juniperward.forwarder.reducer.round import Round
 from juniperward.forwarder.state import PendingMessage
-from juniperward.forwarder.telemetry import check_invariant, increment
+from juniperward.forwarder.telemetry import check_invariant, increment, record_peak
 from juniperward.net.http_status import HttpStatus
 from juniperward.scheduler import events as scheduler_events
 from juniperward.scheduler.tuning import MIN_ATTEMPT_TIME_FRACTION
@@ -34,6 +34,9 @@
 NOTIFICATION_MARGIN_FRACTION = 0.2
 # A notification that was due during the downtime is not late until 1.5 s after the process is ready again.
 NOTIFICATION_GRACE_AFTER_RESTART_S = 1.5 - MAX_NOTIFICATION_MARGIN_S
+# Messages that take more than this may use only a fraction of the memory for messages.
+MAX_USUAL_MESSAGE_BYTES = 8192
+LARGE_MESSAGES_FRACTION = 0.75
 # Replaces the endpoint number of a past attempt whose endpoint is unknown or no longer listed.
 NO_ENDPOINT = 0
 
@@ -121,7 +124,21 @@
             return "stopping"
         open_messages = len(state.messages.pending) + len(state.messages.accepting)
         expired = event.received_at + message.time_left_s <= self._round.now
-        return "full" if expired or open_messages >= self._round.settings.max_open else None
+        if expired or open_messages >= self._round.settings.max_open:
+            return "full"
+        return None if self._fits_memory(message) else "memory"
+
+    def _fits_memory(self, message: Message) -> bool:
+        """Return whether there is memory for another message; large ones leave a part of it to the others."""
+        state = self._round.state
+        needed_bytes = message_bytes(message)
+        notifications_bytes = len(state.unacknowledged) * MESSAGE_OVERHEAD_BYTES
+        used_bytes = state.messages.content_bytes + notifications_bytes + needed_bytes
+        fraction = 1.0 if needed_bytes <= MAX_USUAL_MESSAGE_BYTES else LARGE_MESSAGES_FRACTION
+        if used_bytes > fraction * self._round.message_limits.message_bytes:
+            return False
+        record_peak("message_bytes", used_bytes)
+        return True
 
     def message_accepted(self, number: int, client_answered: bool) -> None:
         """Pass a journalled message to the scheduler; withdraw it if its client could not be answered.
--- a/juniperward/forwarder/reducer/reducer.py
+++ b/juniperward/forwarder/reducer/reducer.py
@@ -18,7 +18,7 @@
 from juniperward.forwarder.reducer.health_checks import HealthChecks
 from juniperward.forwarder.reducer.intake import Intake
 from juniperward.forwarder.reducer.notifications import Notifications
-from juniperward.forwarder.reducer.round import Round
+from juniperward.forwarder.reducer.round import NO_LIMITS, MessageLimits, Round
 from juniperward.forwarder.reducer.scheduling import Handlers, Scheduling
 from juniperward.forwarder.reducer.shutdown import Shutdown
 from juniperward.forwarder.state import ForwarderState
@@ -40,12 +40,13 @@
         seed: int,
         stores_dead_letters: bool = False,
         stored_ids: frozenset[str] = frozenset(),
+        message_limits: MessageLimits = NO_LIMITS,
     ) -> None:
         """Start without messages; `stored_ids` are the ids of messages already stored as dead letters."""
         self.settings = settings
         self.scheduler = DeliveryScheduler(settings, seed)
         self.state = ForwarderState()
-        round_ = self._round = Round(settings, self.state)
+        round_ = self._round = Round(settings, self.state, message_limits)
         dead_letters = DeadLetters(round_, stores_dead_letters, stored_ids)
         self._notifications = Notifications(round_)
         completion = Completion(round_, self._notifications, dead_letters)
--- a/juniperward/forwarder/reducer/round.py
+++ b/juniperward/forwarder/reducer/round.py
@@ -2,18 +2,40 @@
 
 from __future__ import annotations
 
+import math
+from dataclasses import dataclass
+
 from juniperward.forwarder.effects import Effect
 from juniperward.forwarder.state import ForwarderState
 from juniperward.scheduler.events import Event as SchedulerEvent
 from juniperward.scheduler.settings import SchedulerSettings
 
 
+@dataclass(frozen=True, slots=True)
+class MessageLimits:
+    """The memory that the reducer may use for what clients choose.
+
+    Attributes:
+        message_bytes: The contents of accepted messages that are not completed.
+        completed_id_bytes: The ids of completed messages.
+
+    """
+
+    message_bytes: float = math.inf
+    completed_id_bytes: float = math.inf
+
+
+NO_LIMITS = MessageLimits()
+
+
 class Round:
     """The context that the reducer's handlers share: settings, state, time, effects and scheduler events."""
 
-    def __init__(self, settings: SchedulerSettings, state: ForwarderState) -> None:
+    def __init__(
+        self, settings: SchedulerSettings, state: ForwarderState, message_limits: MessageLimits = NO_LIMITS
+    ) -> None:
         """Create the context; `begin` starts the first round."""
-        self.settings = settings
+        self.settings, self.message_limits = settings, message_limits
         self.state = state
         self.now = 0.0
         self.effects: list[Effect] = []
--- a/juniperward/forwarder/server.py
+++ b/juniperward/forwarder/server.py
@@ -1,4 +1,4 @@
-"""The server for clients: a listener thread, and one thread with a small stack for each connection.
+"""The server for clients: a listener thread, a thread that waits for resting connections, and threads that serve.
 
 `answer`, `accept`, `set_draining` and `has_finished` are called by the loop's thread; `start`, `stop` and `close` by
 the main thread.
@@ -13,19 +13,25 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
-from juniperward.forwarder.body_budget import BodyBudget, body_budget_bytes
 from juniperward.forwarder.client_connection import ClientConnection
 from juniperward.forwarder.client_session import (
-    RETRY_AFTER_S,
+    ClientResources,
     ClientSessions,
+    NextStep,
     ServiceState,
 )
 from juniperward.forwarder.client_table import ClientTable
+from juniperward.forwarder.client_threads import ClientThreads
 from juniperward.forwarder.codec import encode_reply
 from juniperward.forwarder.config import DEFAULT_MEMORY_LIMIT_BYTES
 from juniperward.forwarder.descriptors import MAX_CLOSING_CLIENTS
 from juniperward.forwarder.events import Event
+from juniperward.forwarder.incomplete_requests import IncompleteRequests
+from juniperward.forwarder.memory_limits import divide_memory
 from juniperward.forwarder.pending_requests import PendingRequests
+from juniperward.forwarder.request_budget import RequestBudget
+from juniperward.forwarder.request_reader import RETRY_AFTER_S
+from juniperward.forwarder.resting_clients import RestingClients
 from juniperward.forwarder.settings_names import SettingsNames
 from juniperward.forwarder.telemetry import increment, log, report_fault
 from juniperward.net import sockets
@@ -34,6 +40,8 @@
 BACKLOG = 512
 LISTENER_JOIN_TIMEOUT_S = 0.5
 ACCEPT_RETRY_DELAY_S = 0.05
+# The shares of the memory limit that applies if the settings have none.
+DEFAULT_MEMORY = divide_memory(DEFAULT_MEMORY_LIMIT_BYTES, 0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,12 +50,16 @@
 
     Attributes:
         closing_clients: How many evicted connections may be open beyond the usual number.
-        memory_bytes: The limit on the process's memory, of which incomplete bodies may use a part.
+        client_threads: How many threads may serve connections.
+        incomplete_requests: How many requests may be awaited at once.
+        request_bytes: What whole messages may take together, until the reducer has answered them.
 
     """
 
     closing_clients: int = MAX_CLOSING_CLIENTS
-    memory_bytes: int = DEFAULT_MEMORY_LIMIT_BYTES
+    client_threads: int = DEFAULT_MEMORY.client_threads
+    incomplete_requests: int = DEFAULT_MEMORY.incomplete_requests
+    request_bytes: int = DEFAULT_MEMORY.request_bytes
 
 
 DEFAULT_LIMITS = ServerLimits()
@@ -80,8 +92,12 @@
         self.table = ClientTable(max_clients, limits.closing_clients)
         self.state = ServiceState()
         self.requests = PendingRequests()
-        self.bodies = BodyBudget(body_budget_bytes(limits.memory_bytes))
-        self.sessions = ClientSessions(names, self.state, self.requests, self.bodies, post)
+        self.budget = RequestBudget(limits.request_bytes)
+        self.threads = ClientThreads(limits.client_threads, self._serve)
+        self.incomplete = IncompleteRequests(limits.incomplete_requests, self.threads.submit)
+        self.resting = RestingClients(self.threads.submit, self._close, self._check)
+        resources = ClientResources(self.incomplete, self.budget, self.threads)
+        self.sessions = ClientSessions(names, self.state, self.requests, resources, post)
         self._closed = False
         self._accepting = threading.Thread(target=self._accept, name="listener", daemon=True)
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -134,7 +150,9 @@
         may be accepted from a client that may be gone. Nothing is written if the request was answered before.
         """
         with self._locked_client(request) as client:
-            return client is not None and self._write_answer(client, status, retry_after_s)
+            written = client is not None and self._write_answer(client, status, retry_after_s)
+        self.budget.release(request)
+        return written
 
     def accept(self, request: int, journal: Callable[[], bool]) -> bool:
         """Have `journal` write the message of a pending request, then answer 202; return whether both were done.
@@ -143,6 +161,12 @@
         client is gone. The connection's thread cannot reject the request meanwhile, so that the journal never has a
         message whose client was told before that it is rejected.
         """
+        try:
+            return self._accept_pending(request, journal)
+        finally:
+            self.budget.release(request)
+
+    def _accept_pending(self, request: int, journal: Callable[[], bool]) -> bool:
         with self._locked_client(request) as client:
             if client is None:
                 return False
@@ -204,28 +228,50 @@
             sock.close()
 
     def _admit(self, sock: socket.socket) -> None:
-        """Start a thread that serves a connection, or reject the connection if the table is full."""
+        """Let a connection rest until its first request, or reject it if the table is full."""
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if self.table.is_full:
+            self.resting.close_oldest_lingering()
         client, admitted = self.table.add(sock)
         if not admitted:
             increment("rejections_connections")
             _reject_connection(client)
             sock.close()
             return
-        try:
-            threading.Thread(target=self._serve, args=(client,), name="client", daemon=True).start()
-        except RuntimeError:
-            self.table.remove(client)
-            _reject_connection(client)
-            raise
+        self.resting.add(client)
 
     def _serve(self, client: ClientConnection) -> None:
+        """Serve a connection while it needs a thread."""
+        next_step = NextStep.CLOSE
         try:
-            self.sessions.serve(client)
+            next_step = self.sessions.serve(client)
         finally:
-            # The socket is closed first, so that connections in the table bound the number of open descriptors.
-            client.sock.close()
-            self.table.remove(client)
+            match next_step:
+                case NextStep.REST:
+                    self.resting.add(client)
+                case NextStep.QUEUE:
+                    self.incomplete.queue(client)
+                case NextStep.YIELD:
+                    self.threads.submit(client)
+                case NextStep.LINGER:
+                    client.begin_linger()
+                    self.resting.add(client)
+                case NextStep.CLOSE:
+                    self._close(client)
+
+    def _check(self, now: float) -> bool:
+        """Do what is due periodically; return whether connections are still served."""
+        self.incomplete.check(now)
+        if not self.has_finished():
+            return True
+        self.threads.stop()
+        return False
+
+    def _close(self, client: ClientConnection) -> None:
+        # The socket is closed first, so that connections in the table bound the number of open descriptors.
+        client.sock.close()
+        client.stream = None
+        self.table.remove(client)
 
 
 def _is_gone(client: ClientConnection) -> bool:
--- a/juniperward/forwarder/state.py
+++ b/juniperward/forwarder/state.py
@@ -9,7 +9,10 @@
 from dataclasses import dataclass, field
 
 from juniperward.forwarder.events import MessageReceived
-from juniperward.forwarder.model import Endpoint, Message, OutcomeNotification, PastAttempt
+from juniperward.forwarder.model import Endpoint, Message, OutcomeNotification, PastAttempt, message_bytes
+
+# What the id of a completed message takes beside its characters: the objects and the table's entry.
+COMPLETED_ID_OVERHEAD_BYTES = 180
 
 
 @dataclass(slots=True, eq=False)
@@ -89,6 +92,8 @@
         duplicates: Further requests with the id of an accepting message, by its number; written by Intake.
         numbers: The numbers of pending and accepting messages by message id.
         completed: When each message id was completed; written by Completion.
+        content_bytes: The memory of the contents of pending and accepting messages.
+        completed_bytes: The memory of `completed`.
         sequence: The sequence of message numbers.
     """
 
@@ -97,6 +102,8 @@
     duplicates: dict[int, list[MessageReceived]] = field(default_factory=dict)
     numbers: dict[str, int] = field(default_factory=dict)
     completed: dict[str, float] = field(default_factory=dict)
+    content_bytes: int = 0
+    completed_bytes: int = 0
     sequence: NumberSequence = field(default_factory=NumberSequence)
 
     def find(self, message_id: str) -> PendingMessage | None:
@@ -109,7 +116,7 @@
     def begin_accepting(self, pending: PendingMessage) -> None:
         """Add a message whose client has not been answered."""
         self.accepting[pending.number] = pending
-        self.numbers[pending.message.id] = pending.number
+        self._add(pending)
 
     def accept(self, number: int) -> PendingMessage:
         """Move a message to `pending`, as its client was answered; return it."""
@@ -119,18 +126,37 @@
     def withdraw(self, number: int) -> PendingMessage:
         """Remove a message whose client could not be answered; return it."""
         pending = self.accepting.pop(number)
-        del self.numbers[pending.message.id]
+        self._forget(pending)
         return pending
 
     def restore(self, pending: PendingMessage) -> None:
         """Add a message restored from the journal; its client was answered before the restart."""
         self.pending[pending.number] = pending
-        self.numbers[pending.message.id] = pending.number
+        self._add(pending)
 
     def remove(self, pending: PendingMessage) -> None:
         """Remove a pending message that has its final outcome."""
         del self.pending[pending.number]
+        self._forget(pending)
+
+    def add_completed(self, message_id: str, completed_at: float) -> None:
+        """Keep the id of a completed message."""
+        if message_id not in self.completed:
+            self.completed_bytes += len(message_id) + COMPLETED_ID_OVERHEAD_BYTES
+        self.completed[message_id] = completed_at
+
+    def drop_completed(self, message_id: str) -> None:
+        """Forget the id of a completed message."""
+        del self.completed[message_id]
+        self.completed_bytes -= len(message_id) + COMPLETED_ID_OVERHEAD_BYTES
+
+    def _add(self, pending: PendingMessage) -> None:
+        self.numbers[pending.message.id] = pending.number
+        self.content_bytes += message_bytes(pending.message)
+
+    def _forget(self, pending: PendingMessage) -> None:
         del self.numbers[pending.message.id]
+        self.content_bytes -= message_bytes(pending.message)
 
 
 @dataclass(slots=True)
--- a/juniperward/forwarder/telemetry.py
+++ b/juniperward/forwarder/telemetry.py
@@ -10,6 +10,7 @@
 import sys
 import threading
 import time
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 # The limit of log lines of each kind. The next line of the kind gives the number of lines suppressed before it.
@@ -17,6 +18,8 @@
 
 _lock = threading.Lock()
 _counts: dict[str, int] = {}
+_peaks: dict[str, int] = {}
+_limits: dict[str, int] = {}
 
 
 class InvariantBrokenError(AssertionError):
@@ -63,6 +66,26 @@
         return dict(sorted(_counts.items()))
 
 
+def record_peak(name: str, value: int) -> None:
+    """Keep the highest value of a gauge."""
+    if value <= _peaks.get(name, 0):
+        return
+    with _lock:
+        _peaks[name] = max(value, _peaks.get(name, 0))
+
+
+def set_limit(name: str, limit: int) -> None:
+    """Set the limit of a gauge, which is printed beside its highest value."""
+    with _lock:
+        _limits[name] = limit
+
+
+def peaks() -> dict[str, int]:
+    """Return the highest value of each gauge, sorted by name."""
+    with _lock:
+        return dict(sorted(_peaks.items()))
+
+
 def log(kind: str, event: str, **fields: object) -> None:
     """Print a line to standard error, at most MAX_LINES_PER_S of each kind."""
     now = time.monotonic()
@@ -125,7 +148,11 @@
 
 
 def report_counters() -> None:
-    """Print all counters to standard error in one line."""
-    text = " ".join(f"{name}={value}" for name, value in counters().items())
+    """Print all counters to standard error in one line, and the gauges with their limits in another."""
+    _print_line("counters", (f"{name}={value}" for name, value in counters().items()))
+    _print_line("gauges", (f"{name}={value}/{_limits.get(name, '-')}" for name, value in peaks().items()))
+
+
+def _print_line(kind: str, values: Iterable[str]) -> None:
     with contextlib.suppress(OSError, ValueError):
-        print(f"juniperward: counters: {text}", file=sys.stderr, flush=True)
+        print(f"juniperward: {kind}: {' '.join(values)}", file=sys.stderr, flush=True)
--- a/juniperward/net/http_requests.py
+++ b/juniperward/net/http_requests.py
@@ -4,7 +4,6 @@
 
 import re
 from collections.abc import Callable
-from contextlib import AbstractContextManager, nullcontext
 from dataclasses import dataclass
 
 from juniperward.net.http_errors import (
@@ -38,15 +37,13 @@
 
     Attributes:
         send_continue: called if the client expects 100 (Continue).
-        reserve_body: returns a context for the wait for the missing bytes of a body with the given length.
 
     """
 
     send_continue: Callable[[], None]
-    reserve_body: Callable[[int], AbstractContextManager[None]]
 
 
-NO_HOOKS = RequestHooks(lambda: None, lambda _: nullcontext())
+NO_HOOKS = RequestHooks(lambda: None)
 
 
 def read_request(stream: Stream, hooks: RequestHooks = NO_HOOKS) -> HttpRequest:
@@ -68,18 +65,11 @@
         raise MalformedMessageError(HttpStatus.CONTENT_TOO_LARGE, "the body is too large")
     if headers.get("expect", "").lower() == "100-continue" and len(stream.buffer) < length:
         hooks.send_continue()
-    body = _read_body(stream, length, hooks)
+    body = stream.read_exactly(length)
     path, _, _ = TARGET_START.sub(b"/", target, count=1).decode("latin-1").partition("?")
     return HttpRequest(method.decode(), path, headers, body, ends_connection(version, headers))
 
 
-def _read_body(stream: Stream, length: int, hooks: RequestHooks) -> bytes:
-    if len(stream.buffer) >= length:
-        return stream.read_exactly(length)
-    with hooks.reserve_body(length):
-        return stream.read_exactly(length)
-
-
 def _read_request_line(stream: Stream) -> tuple[bytes, bytes, bytes]:
     """Return method, target and version; empty lines before the request line are skipped."""
     _skip_empty_lines(stream)
--- a/tests/test_client_concurrency.py
+++ b/tests/test_client_concurrency.py
@@ -16,7 +16,7 @@
 from juniperward.forwarder.codec import UnreadableMessageError
 from juniperward.forwarder.concurrency_limit import MAX_RUNNING_THREADS, MAX_WAIT_S, ConcurrencyLimit, Slots
 from juniperward.forwarder.events import Event, MessageReceived
-from juniperward.forwarder.server import Server
+from juniperward.forwarder.server import Server, ServerLimits
 from juniperward.forwarder.telemetry import counters
 from juniperward.net import sockets
 from juniperward.net.http_responses import read_response
@@ -52,7 +52,8 @@
     @pytest.fixture(autouse=True)
     def set_up(self, resources: Resources) -> None:
         self.resources = resources
-        self.server = Server(("127.0.0.1", 0), NAMES, 4 * CONNECTIONS, lambda _: None)
+        limits = ServerLimits(client_threads=4 * CONNECTIONS, incomplete_requests=2 * CONNECTIONS)
+        self.server = Server(("127.0.0.1", 0), NAMES, 4 * CONNECTIONS, lambda _: None, limits)
         self.server.start()
         self.resources.callback(self.server.close)
 
@@ -86,10 +87,8 @@
         assert [read_response(stream).status for stream in streams] == [200] * CONNECTIONS
         for number, sock in enumerate(socks):
             sock.sendall(request(f"m{number}"))
-        self.wait_until_read(CONNECTIONS)
-        until = time.monotonic() + WAIT_S
-        while decoder.running < MAX_RUNNING_THREADS and time.monotonic() < until:
-            time.sleep(0)
+        # All other connections have a thread, or wait for one.
+        wait_until(lambda: self.server.resting.count == 0 and decoder.running >= MAX_RUNNING_THREADS)
         assert decoder.most_running == MAX_RUNNING_THREADS
         decoder.may_finish.set()
         assert [read_response(stream).status for stream in streams] == [400] * CONNECTIONS
@@ -115,6 +114,26 @@
 
 
 class TestTimeLeft(UsesResources):
+    def test_the_time_left_does_not_begin_after_the_wait_for_a_thread(self) -> None:
+        # Guards against messages whose end comes late by as long as their connection has waited for a thread.
+        events: queue.Queue[Event] = queue.Queue()
+        server = Server(("127.0.0.1", 0), NAMES, 10, events.put, ServerLimits(client_threads=1))
+        self.resources.closing(server)
+        ours, theirs = socket.socketpair()
+        self.resources.callback(ours.close)
+        self.resources.callback(theirs.close)
+        client = ClientConnection(1, ours)
+        with contextlib.ExitStack() as slots:
+            for _ in range(MAX_RUNNING_THREADS):
+                slots.enter_context(server.sessions._limit)
+            theirs.sendall(request("m1"))
+            server.resting.add(client)
+            wait_until(lambda: client.is_readable)
+            released_at = time.monotonic()
+        event = events.get(timeout=WAIT_S)
+        assert isinstance(event, MessageReceived)
+        assert event.received_at <= released_at
+
     def test_the_time_left_does_not_begin_after_the_wait_for_a_slot(self) -> None:
         # Guards against messages whose end comes late by as long as their thread had waited for others.
         events: queue.Queue[Event] = queue.Queue()
@@ -123,7 +142,7 @@
         self.resources.callback(ours.close)
         self.resources.callback(theirs.close)
         client = ClientConnection(1, ours)
-        threading.Thread(target=server.sessions.serve, args=(client,), daemon=True).start()
+        server.resting.add(client)
         theirs.sendall(request("m1")[:50])
         wait_until(lambda: not client.idle)
         with contextlib.ExitStack() as slots:
--- a/tests/test_client_faults.py
+++ b/tests/test_client_faults.py
@@ -9,7 +9,6 @@
 import socket
 import struct
 import tempfile
-import threading
 import time
 from pathlib import Path
 from unittest import mock
@@ -123,15 +122,12 @@
         return client
 
     def wait_for_connections_to_end(self) -> bool:
-        """Wait for the end of all connections and their threads; return False after WAIT_S."""
+        """Wait for the end of all connections; return False after WAIT_S."""
         until = time.monotonic() + WAIT_S
         while time.monotonic() < until:
-            threads = [t for t in threading.enumerate() if t.name == "client"]
-            if not threads and not self.server.table.clients:
+            if not self.server.table.clients:
                 return True
-            for thread in threads:
-                if thread.is_alive():  # a thread that is being started cannot be joined yet
-                    thread.join(0.1)
+            time.sleep(0)
         return False
 
     def wait_for_descriptors(self, at_most: int) -> int:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -281,9 +281,10 @@
             server.close()
             assert not server.has_finished()  # the process still has to answer it
             assert late.recv(100).startswith(b"HTTP/1.1 503 ")
-        for thread in threading.enumerate():
-            if thread.name == "client":
-                thread.join(5.0)
+        # The connection is closed by the thread that its client rests with.
+        until = time.monotonic() + 5.0
+        while not server.has_finished() and time.monotonic() < until:
+            time.sleep(0)
         assert server.has_finished()
 
     def test_an_answer_is_written_completely_or_its_connection_closed(self) -> None:
--- a/tests/test_on_call_page.py
+++ b/tests/test_on_call_page.py
@@ -16,7 +16,7 @@
 # Suffixes by prefix, for the counters whose names the code builds.
 FORMATTED_NAMES = {
     "attempts_": {outcome.name.lower() for outcome in Outcome},
-    "rejections_": {"conflict", "fenced", "unknown", "stopping", "full"},
+    "rejections_": {"conflict", "fenced", "unknown", "stopping", "full", "memory"},
     "broken_": {"NAME"},
     "threads_late_": {"clients", "calls"},
 }
