A soak over processes that are killed above their memory limit, and room under a crowd

A full table now gives up the oldest connection that queues up for a permit, once it is 0.5 s old, and evicts no idle one while connections queue up.

--- a/juniperward/cli/main.py
+++ b/juniperward/cli/main.py
@@ -67,7 +67,8 @@
     rounds: Annotated[
         int | None,
         typer.Option(
-            help="Number of kills (chaos), seeds (dead-letters, slow-start) or messages (dead-letter-store)."
+            help="Number of kills (chaos), seeds (dead-letters, memory-soak, slow-start) or messages "
+            "(dead-letter-store)."
         ),
     ] = None
     rate: Annotated[float | None, typer.Option(help="Messages per second (rolls, chaos, capacity).")] = None
--- a/juniperward/forwarder/client_table.py
+++ b/juniperward/forwarder/client_table.py
@@ -9,6 +9,7 @@
 import socket
 import threading
 import time
+from enum import Enum
 
 from juniperward.forwarder.client_connection import ClientConnection
 from juniperward.forwarder.telemetry import increment
@@ -19,6 +20,20 @@
 MIN_IDLE_UNSERVED_S = 0.25
 
 
+class Room(Enum):
+    """How a full table gets room for another connection.
+
+    Attributes:
+        MADE: Another connection is being closed.
+        EVICT: An idle connection may be evicted.
+        NONE: There is none.
+    """
+
+    MADE = "made"
+    EVICT = "evict"
+    NONE = "none"
+
+
 class ClientTable:
     """Client connections by number; safe to call from any thread."""
 
@@ -49,12 +64,15 @@
         with self._lock:
             return list(self.clients.values())
 
-    def add(self, sock: socket.socket) -> tuple[ClientConnection, bool]:
-        """Create a connection for a socket and return it with whether the table had room for it."""
+    def add(self, sock: socket.socket, room: Room = Room.EVICT) -> tuple[ClientConnection, bool]:
+        """Create a connection for a socket and return it with whether the table had room for it.
+
+        `room` says what may be done for it if the table is full.
+        """
         with self._lock:
             self._last_number += 1
             client = ClientConnection(self._last_number, sock)
-            admitted = self._ensure_capacity()
+            admitted = self._ensure_capacity(room)
             if admitted:
                 self.clients[client.number] = client
         increment("clients_accepted")
@@ -70,14 +88,14 @@
         with self._lock:
             return self._evict_one()
 
-    def _ensure_capacity(self) -> bool:
+    def _ensure_capacity(self, room: Room) -> bool:
         """Return whether a connection may be added, evicting another if needed; the caller holds the lock."""
         count = len(self.clients)
         if count < self.max_clients:
             return True
         if count >= self.max_clients + self.max_evicted:
             return False
-        return self._evict_one()
+        return room is Room.MADE or (room is Room.EVICT and self._evict_one())
 
     def _evict_one(self) -> bool:
         now = time.monotonic()
--- a/juniperward/forwarder/incomplete_requests.py
+++ b/juniperward/forwarder/incomplete_requests.py
@@ -15,6 +15,8 @@
 from juniperward.forwarder.client_connection import ClientConnection
 from juniperward.forwarder.telemetry import increment, record_peak
 
+# A connection that has queued up may be given up for a new one once it is this old.
+MIN_AGE_S = 0.5
 # At each check at most so many requests are given up.
 MAX_GIVEN_UP_AT_ONCE = 25
 
@@ -81,6 +83,22 @@
             client.given_up = True
             self._resume(client)
 
+    @property
+    def has_queued(self) -> bool:
+        """Whether a connection waits for a permit."""
+        return bool(self._queued)
+
+    def make_room(self, now: float) -> bool:
+        """Give up the oldest of the connections that queue up, for a new one; return whether that was possible."""
+        with self._lock:
+            if not self._queued or now - self._queued[0].idle_since < MIN_AGE_S:
+                return False
+            client = self._queued.popleft()
+        increment("requests_given_up")
+        client.given_up = True
+        self._resume(client)
+        return True
+
     def _permit(self, client: ClientConnection) -> None:
         self._waiting[client] = None
         record_peak("incomplete_requests", self.waiting)
--- a/tests/test_memory_of_clients.py
+++ b/tests/test_memory_of_clients.py
@@ -7,6 +7,7 @@
 import pytest
 
 from juniperward.benchmarks.limited_forwarder import LimitedForwarder, Limits
+from juniperward.benchmarks.memory_soak import run_seed
 from juniperward.fakes.discovery import FakeDiscovery
 from juniperward.fakes.hostile_clients import Form, hostile_clients
 from juniperward.fakes.load_balancer import is_ready
@@ -17,6 +18,8 @@
 PROCESSES, CONNECTIONS_EACH = 3, 160
 FLOOD_S = 2.0
 SEED = 63
+# Each takes some 16 s; `juniperward measure memory-soak` runs more of them by hand.
+SOAK_SEEDS = (1, 2, 3)
 FORMS = (Form.LINES_AND_BODY, Form.WHOLE, Form.LARGE_FIELDS, Form.MIXED)
 
 
@@ -44,3 +47,11 @@
         used_mb = forwarder.peak_bytes / 1e6
         assert not forwarder.killed_for_memory, f"{form}: {used_mb:.1f} MB used"
     assert is_ready(forwarder.address)
+
+
+def test_seeded_soak_holds_memory_limits_and_rules(subtests: pytest.Subtests) -> None:
+    # Guards against kills for memory, exits and broken rules while signals, faults and hostile clients combine.
+    for result in map(run_seed, SOAK_SEEDS):
+        with subtests.test(seed=result.seed):
+            assert result.problems == [], result.cells()
+            assert result.verdict.accepted > 0
--- a/tests/test_request_memory.py
+++ b/tests/test_request_memory.py
@@ -15,7 +15,7 @@
 from juniperward.forwarder.config import BYTES_PER_MB
 from juniperward.forwarder.descriptors import divide_descriptors
 from juniperward.forwarder.events import Event, MessageReceived
-from juniperward.forwarder.incomplete_requests import IncompleteRequests
+from juniperward.forwarder.incomplete_requests import MIN_AGE_S, IncompleteRequests
 from juniperward.forwarder.memory_limits import (
     CALL_BYTES,
     CLIENT_CONNECTION_BYTES,
@@ -189,6 +189,21 @@
     threads.stop()
 
 
+def test_a_connection_that_queues_up_makes_room_for_new_ones(resources: Resources) -> None:
+    # Guards against usual clients that find no free connection, as incomplete requests hold all of them.
+    resumed: list[ClientConnection] = []
+    incomplete = IncompleteRequests(0, resumed.append)
+    ours, theirs = socket.socketpair()
+    resources.callback(ours.close)
+    resources.callback(theirs.close)
+    client = ClientConnection(1, ours)
+    incomplete.queue(client)
+    assert not incomplete.make_room(client.idle_since + MIN_AGE_S / 2)
+    assert incomplete.has_queued
+    assert incomplete.make_room(client.idle_since + MIN_AGE_S)
+    assert (resumed, client.given_up) == ([client], True)
+
+
 def test_served_connections_get_a_permit_before_new_ones(resources: Resources) -> None:
     resumed: list[ClientConnection] = []
     incomplete = IncompleteRequests(1, resumed.append)
