Let restored messages wait for the first list, as an address may be another endpoint's

With a listed address that belongs to an endpoint of another destination by now, the first messages were called there.

Fix: while there are messages to restore, the start waits until discovery has sent a list, its watch was lost, or 0.25 s are over; an answer without changes has no list, so that 20 ms behind its head are enough. Without messages to restore nothing changes. If discovery is down, the old list is used as before: its outage must not stop service.

--- a/juniperward/forwarder/discovery_watch.py
+++ b/juniperward/forwarder/discovery_watch.py
@@ -83,6 +83,11 @@
         """Queue a watch for changes after a version."""
         self._requests.put(WatchRequest(version, epoch))
 
+    @property
+    def is_answered(self) -> bool:
+        """Whether discovery has answered the current watch."""
+        return self._streaming_since < math.inf
+
     def _work(self) -> None:
         while True:
             request = self._requests.get()
--- a/juniperward/forwarder/start.py
+++ b/juniperward/forwarder/start.py
@@ -20,12 +20,11 @@
 from juniperward.forwarder.config import Config, ConfigError, load
 from juniperward.forwarder.events import (
     ControlRequested,
-    EndpointsUpdated,
-    JournalReplayed,
     ShutdownRequested,
 )
 from juniperward.forwarder.loop import Loop
 from juniperward.forwarder.reload import Reloader
+from juniperward.forwarder.restore import restore
 from juniperward.forwarder.state_folder import lock_folder
 from juniperward.forwarder.telemetry import increment, log, report_counters, report_fault
 from juniperward.forwarder.trace import Trace
@@ -77,7 +76,7 @@
     if os.environ.get("ROUTER_TRACE"):
         _start_trace(config, loop)
     stop_loop = threading.Event()
-    restored = _restore(config, loop)
+    restored = restore(config, loop)
     loop_thread = threading.Thread(target=_run_loop, args=(loop, stop_loop), name="loop")
     loop_thread.start()
     control = open_control(config, loop)
@@ -127,16 +126,6 @@
     log("trace", "settings", value=config.settings)
 
 
-def _restore(config: Config, loop: Loop) -> int:
-    """Apply the configured endpoint list and the journal's messages; return the number of messages."""
-    known = config.known_endpoints
-    loop.executor.discovery.start()
-    loop.round([EndpointsUpdated(known.version, known.full, known.endpoints, cached=True)])
-    restored = loop.executor.journal.restored()
-    loop.round([JournalReplayed(restored)])
-    return len(restored)
-
-
 def _run_loop(loop: Loop, stop_loop: threading.Event) -> None:
     try:
         loop.run(stop_loop.is_set)
