--- a/juniperward/forwarder/client_table.py
+++ b/juniperward/forwarder/client_table.py
@@ -20,16 +20,16 @@
 MIN_IDLE_UNSERVED_S = 0.25
 
 
-class Room(Enum):
-    """How a full table gets room for another connection.
+class Capacity(Enum):
+    """How a full table gets capacity for another connection.
 
     Attributes:
-        MADE: Another connection is being closed.
+        FREED: Another connection is being closed.
         EVICT: An idle connection may be evicted.
         NONE: There is none.
     """
 
-    MADE = "made"
+    FREED = "freed"
     EVICT = "evict"
     NONE = "none"
 
@@ -64,15 +64,15 @@
         with self._lock:
             return list(self.clients.values())
 
-    def add(self, sock: socket.socket, room: Room = Room.EVICT) -> tuple[ClientConnection, bool]:
+    def add(self, sock: socket.socket, capacity: Capacity = Capacity.EVICT) -> tuple[ClientConnection, bool]:
         """Create a connection for a socket and return it with whether the table had room for it.
 
-        `room` says what may be done for it if the table is full.
+        `capacity` says what may be done for it if the table is full.
         """
         with self._lock:
             self._last_number += 1
             client = ClientConnection(self._last_number, sock)
-            admitted = self._ensure_capacity(room)
+            admitted = self._ensure_capacity(capacity)
             if admitted:
                 self.clients[client.number] = client
         increment("clients_accepted")
@@ -88,14 +88,14 @@
         with self._lock:
             return self._evict_one()
 
-    def _ensure_capacity(self, room: Room) -> bool:
+    def _ensure_capacity(self, capacity: Capacity) -> bool:
         """Return whether a connection may be added, evicting another if needed; the caller holds the lock."""
         count = len(self.clients)
         if count < self.max_clients:
             return True
         if count >= self.max_clients + self.max_evicted:
             return False
-        return room is Room.MADE or (room is Room.EVICT and self._evict_one())
+        return capacity is Capacity.FREED or (capacity is Capacity.EVICT and self._evict_one())
 
     def _evict_one(self) -> bool:
         now = time.monotonic()
--- a/juniperward/forwarder/incomplete_requests.py
+++ b/juniperward/forwarder/incomplete_requests.py
@@ -88,7 +88,7 @@
         """Whether a connection waits for a permit."""
         return bool(self._queued)
 
-    def make_room(self, now: float) -> bool:
+    def free_capacity(self, now: float) -> bool:
         """Give up the oldest of the connections that queue up, for a new one; return whether that was possible."""
         with self._lock:
             if not self._queued or now - self._queued[0].idle_since < MIN_AGE_S:
--- a/juniperward/forwarder/server.py
+++ b/juniperward/forwarder/server.py
@@ -20,7 +20,7 @@
     NextStep,
     ServiceState,
 )
-from juniperward.forwarder.client_table import ClientTable, Room
+from juniperward.forwarder.client_table import Capacity, ClientTable
 from juniperward.forwarder.client_threads import ClientThreads
 from juniperward.forwarder.codec import encode_reply
 from juniperward.forwarder.config import DEFAULT_MEMORY_LIMIT_BYTES
@@ -230,7 +230,9 @@
     def _admit(self, sock: socket.socket) -> None:
         """Let a connection rest until its first request, or reject it if the table is full."""
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        client, admitted = self.table.add(sock, self._make_room() if self.table.is_full else Room.EVICT)
+        client, admitted = self.table.add(
+            sock, self._free_capacity() if self.table.is_full else Capacity.EVICT
+        )
         if not admitted:
             increment("rejections_connections")
             _reject_connection(client)
@@ -238,14 +240,14 @@
             return
         self.resting.add(client)
 
-    def _make_room(self) -> Room:
+    def _free_capacity(self) -> Capacity:
         """Close a connection of which nothing more is read, or give up an incomplete request.
 
         While incomplete requests fill the table, no idle connection has to make way for further ones.
         """
-        if self.resting.close_oldest_lingering() or self.incomplete.make_room(time.monotonic()):
-            return Room.MADE
-        return Room.NONE if self.incomplete.has_queued else Room.EVICT
+        if self.resting.close_oldest_lingering() or self.incomplete.free_capacity(time.monotonic()):
+            return Capacity.FREED
+        return Capacity.NONE if self.incomplete.has_queued else Capacity.EVICT
 
     def _serve(self, client: ClientConnection) -> None:
         """Serve a connection while it needs a thread."""
--- a/tests/test_client_faults.py
+++ b/tests/test_client_faults.py
@@ -209,9 +209,14 @@
             self.resources.callback(theirs.close)
 
             def shutdown_after_a_request(
-                sock: socket.socket, how: int = socket.SHUT_RDWR, theirs: socket.socket = theirs
+                sock: socket.socket,
+                how: int = socket.SHUT_RDWR,
+                ours: socket.socket = ours,
+                theirs: socket.socket = theirs,
             ) -> None:
-                theirs.sendall(request("n2"))
+                # Threads of servers of other tests may still close their connections.
+                if sock is ours:
+                    theirs.sendall(request("n2"))
                 shutdown(sock, how)
 
             client = ClientConnection(99, ours)
--- a/tests/test_request_memory.py
+++ b/tests/test_request_memory.py
@@ -198,9 +198,9 @@
     resources.callback(theirs.close)
     client = ClientConnection(1, ours)
     incomplete.queue(client)
-    assert not incomplete.make_room(client.idle_since + MIN_AGE_S / 2)
+    assert not incomplete.free_capacity(client.idle_since + MIN_AGE_S / 2)
     assert incomplete.has_queued
-    assert incomplete.make_room(client.idle_since + MIN_AGE_S)
+    assert incomplete.free_capacity(client.idle_since + MIN_AGE_S)
     assert (resumed, client.given_up) == ([client], True)
 
 
