Let few threads serve connections with large or pipelined requests, for the others' sake

Fix: at most eight threads serve connections whose last request was large, or came together with further ones; the other threads are for usual ones. The test fails without the limit. Hostile clients' keys are unique now: a repeated key was reported as a second effect by the soak.

--- a/juniperward/fakes/hostile_clients.py
+++ b/juniperward/fakes/hostile_clients.py
@@ -119,7 +119,7 @@
             Form.HALF_BODY: lambda: message(self._name(), bytes(MAX_BODY_BYTES))[: 60 * 1024],
             Form.LINES_AND_BODY: self._lines_and_body,
             Form.WHOLE: lambda: message(self._name(), bytes(MAX_BODY_BYTES)),
-            Form.LARGE_FIELDS: lambda: message(self._name(), b"", "k" * (MAX_HEAD_BYTES - 1000)),
+            Form.LARGE_FIELDS: self._large_key,
             Form.PIPELINE: lambda: self._burst(PIPELINED_REQUESTS),
             Form.UNREAD: lambda: b"GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n" * 2000,
             Form.TRICKLE: lambda: message(self._name(), bytes(MAX_BODY_BYTES)),
@@ -130,6 +130,10 @@
     def _burst(self, count: int) -> bytes:
         return b"".join(message(self._name(), b"small") for _ in range(count))
 
+    def _large_key(self) -> bytes:
+        name = self._name()
+        return message(name, b"", name.ljust(MAX_HEAD_BYTES - 1000, "k"))
+
     def _lines_and_body(self) -> bytes:
         head = b"POST /api HTTP/1.1\r\nContent-Length: %d\r\n" % MAX_BODY_BYTES
         return head + _short_lines() + b"\r\n" + bytes(MAX_BODY_BYTES // 2)
--- a/juniperward/forwarder/client_threads.py
+++ b/juniperward/forwarder/client_threads.py
@@ -17,6 +17,8 @@
 
 # While less than this fraction of the threads is taken, a connection may keep its thread between requests.
 SPARE_FRACTION = 0.25
+# At most so many threads serve connections of Priority.BULKY: their messages would else delay those of others.
+MAX_BULKY_THREADS = 8
 # One of so many turns goes to the lowest priority that waits, and there to the oldest, so that none waits forever.
 TURNS_FOR_LOWEST = 4
 
@@ -52,6 +54,9 @@
         self._lock = threading.Lock()
         self._queues: tuple[deque[ClientConnection], ...] = tuple(deque() for _ in Priority)
         self._waiting = 0
+        self._bulky_running = 0
+        # Wake-ups that found only connections that wait for another one of Priority.BULKY.
+        self._deferred = 0
         self._turns = 0
         # One entry for each waiting connection, and one for each thread that is to end.
         self._wake_ups: queue.SimpleQueue[None] = queue.SimpleQueue()
@@ -103,10 +108,13 @@
 
     def _work(self) -> None:
         while (client := self._next()) is not None:
+            is_bulky = client.is_bulky
             try:
                 self._serve(client)
             except Exception as error:
                 report_fault("client", error)
+            if is_bulky:
+                self._end_bulky()
         with self._lock:
             self._threads -= 1
 
@@ -114,12 +122,25 @@
         """Wait for a connection and return it, None if the thread is to end."""
         with self._lock:
             self._idle += 1
-        self._wake_ups.get()
+        while True:
+            self._wake_ups.get()
+            with self._lock:
+                client = self._take()
+                if client is None and self._waiting:
+                    self._deferred += 1
+                    continue
+                self._idle -= 1
+                if client is not None:
+                    self._waiting -= 1
+                    self._bulky_running += client.is_bulky
+                return client
+
+    def _end_bulky(self) -> None:
         with self._lock:
-            self._idle -= 1
-            client = self._take()
-            self._waiting -= client is not None
-        return client
+            self._bulky_running -= 1
+            if self._deferred:
+                self._deferred -= 1
+                self._wake_ups.put(None)
 
     def _take(self) -> ClientConnection | None:
         """Return the connection whose turn it is.
@@ -127,6 +148,8 @@
         The newest of a priority goes first, as its client still waits; the oldest of the lowest has its turns too.
         """
         self._turns += 1
+        is_limited = self._bulky_running >= MAX_BULKY_THREADS
+        queues = self._queues[: Priority.BULKY] if is_limited else self._queues
         if self._turns % TURNS_FOR_LOWEST == 0:
-            return next((waiting.popleft() for waiting in reversed(self._queues) if waiting), None)
-        return next((waiting.pop() for waiting in self._queues if waiting), None)
+            return next((waiting.popleft() for waiting in reversed(queues) if waiting), None)
+        return next((waiting.pop() for waiting in queues if waiting), None)
--- a/tests/test_request_memory.py
+++ b/tests/test_request_memory.py
@@ -11,7 +11,7 @@
 import pytest
 
 from juniperward.forwarder.client_connection import READ_BYTES, ClientConnection
-from juniperward.forwarder.client_threads import ClientThreads
+from juniperward.forwarder.client_threads import MAX_BULKY_THREADS, ClientThreads
 from juniperward.forwarder.config import BYTES_PER_MB
 from juniperward.forwarder.descriptors import divide_descriptors
 from juniperward.forwarder.events import Event, MessageReceived
@@ -189,6 +189,37 @@
     threads.stop()
 
 
+def test_connections_with_large_requests_leave_threads_to_others(resources: Resources) -> None:
+    # Guards against usual messages that wait behind those of hundreds of connections with large ones.
+    served: queue.SimpleQueue[ClientConnection] = queue.SimpleQueue()
+    may_end = threading.Event()
+
+    def serve(client: ClientConnection) -> None:
+        served.put(client)
+        if client.is_bulky:
+            may_end.wait(WAIT_S)
+
+    threads = ClientThreads(MAX_BULKY_THREADS + 2, serve)
+    clients = []
+    for number in range(MAX_BULKY_THREADS + 5):
+        ours, theirs = socket.socketpair()
+        resources.callback(ours.close)
+        resources.callback(theirs.close)
+        clients.append(ClientConnection(number, ours))
+    *bulky, usual = clients
+    for client in bulky:
+        client.is_bulky = True
+        threads.submit(client)
+    first = {served.get(timeout=WAIT_S) for _ in range(MAX_BULKY_THREADS)}
+    threads.submit(usual)
+    assert served.get(timeout=WAIT_S) is usual
+    assert served.empty()
+    may_end.set()
+    others = len(bulky) - MAX_BULKY_THREADS
+    assert first | {served.get(timeout=WAIT_S) for _ in range(others)} == set(bulky)
+    threads.stop()
+
+
 def test_a_connection_that_queues_up_makes_room_for_new_ones(resources: Resources) -> None:
     # Guards against usual clients that find no free connection, as incomplete requests hold all of them.
     resumed: list[ClientConnection] = []
