Look again for threads that queue up after a slot could not be passed on

Found by reading: a thread that passes on a slot may find that another has served the last waiting thread. It returned the slot and went away, so that a thread that had queued up meanwhile waited for the next slot, with one lying free. It looks again now.

--- a/juniperward/forwarder/concurrency_limit.py
+++ b/juniperward/forwarder/concurrency_limit.py
@@ -79,9 +79,9 @@
             try:
                 turn = self._waiting.popleft()
             except IndexError:
-                # Another thread has passed on to the last one; whoever queues up now looks for this slot.
+                # Another thread has passed on to the last one; a thread that queues up now does not see this slot.
                 self._free.put(None)
-                return
+                continue
             turn.release()
 
 
--- a/tests/test_concurrency_limit.py
+++ b/tests/test_concurrency_limit.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import threading
+
 import pytest
 
 from juniperward.forwarder import concurrency_limit
 from juniperward.forwarder.concurrency_limit import MAX_WAIT_S, ConcurrencyLimit, Slots
 from juniperward.forwarder.telemetry import counters
+from tests.player import WAIT_S
 
 
 def test_a_slot_is_free_again_after_an_error() -> None:
@@ -43,6 +46,24 @@
         return self.now
 
 
+def test_threads_that_take_and_return_slots_never_wait_for_ever() -> None:
+    # Guards against a slot that is returned while a thread queues up, and then lies free beside that thread.
+    limit = ConcurrencyLimit(2, "tests")
+    rounds = 2000
+
+    def take_repeatedly() -> None:
+        for _ in range(rounds):
+            with limit, limit.blocking:
+                pass
+
+    threads = [threading.Thread(target=take_repeatedly, daemon=True) for _ in range(8)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join(WAIT_S)
+    assert not any(thread.is_alive() for thread in threads)
+
+
 class LateTurn:
     """The turn of a thread that waits, which comes after a time."""
 
