--- a/juniperward/benchmarks/memory_soak.py
+++ b/juniperward/benchmarks/memory_soak.py
@@ -10,8 +10,6 @@
 
 import contextlib
 import random
-import signal
-import subprocess
 import tempfile
 import threading
 import time
@@ -21,8 +19,10 @@
 from multiprocessing import get_context
 from pathlib import Path
 
+from juniperward.benchmarks.lag_watch import LagWatch
 from juniperward.benchmarks.limited_forwarder import BYTES_PER_MB, LimitedForwarder, Limits
 from juniperward.benchmarks.report import Report, Row
+from juniperward.benchmarks.signal_series import SignalSeries
 from juniperward.fakes.checker import check
 from juniperward.fakes.clients import ClientOptions, Clients, Traffic
 from juniperward.fakes.destination_spec import DestinationSpec, FaultMode
@@ -30,14 +30,13 @@
 from juniperward.fakes.discovery import FakeDiscovery
 from juniperward.fakes.hostile_clients import Form, hostile_clients
 from juniperward.fakes.load_balancer import LoadBalancer
-from juniperward.fakes.records import AnyRecord, AttemptReceived, ProcessChange, ProcessEvent, Recorder, now
+from juniperward.fakes.records import AnyRecord, AttemptReceived, Recorder, now
 from juniperward.fakes.verdict import DEFAULT_BOUNDS, Verdict
 
 LIMITS = (Limits(32, 256), Limits(32, 1024), Limits(64, 512), Limits(64, 1024), Limits(192, 1024))
 MAX_FORWARDERS = 3
 RUN_S = 10.0
 HOSTILE_S = 8.0
-SIGNALS_FROM_S, SIGNALS_UNTIL_S = 1.5, 6.0
 RATE_PER_S = 25.0
 DEADLINE_S = 4.0
 DESTINATIONS = 2
@@ -45,12 +44,7 @@
 USUAL_FRACTION, CROWD_FRACTION = 1 / 3, 1 / 2
 CROWD_PROBABILITY = 0.3
 CONNECTIONS_PER_PROCESS = 160
-# The platform kills a process no earlier than this after SIGTERM, and starts the next one this long after its end.
-KILL_AFTER_TERM_S = 3.7
-DOWNTIME_S = 0.6
-SERIES_INTERVAL_S = 0.05
 SETTLE_S = 1.5
-LAG_INTERVAL_S = 0.01
 PARALLEL_RUNS = 2
 MAX_REPORTED_VIOLATIONS = 3
 FAULT_MODES = (FaultMode.HEALTHY, FaultMode.UNRESPONSIVE, FaultMode.REJECTING, FaultMode.FAILING)
@@ -106,80 +100,6 @@
 ]
 
 
-class LagWatch:
-    """Measures by how much the threads of this process are late, until `close`."""
-
-    def __init__(self) -> None:
-        """Start to measure."""
-        self.longest_s = 0.0
-        self._closed = threading.Event()
-        threading.Thread(target=self._run, daemon=True).start()
-
-    def close(self) -> None:
-        """Stop measuring."""
-        self._closed.set()
-
-    def _run(self) -> None:
-        due_at = now() + LAG_INTERVAL_S
-        while not self._closed.wait(LAG_INTERVAL_S):
-            self.longest_s = max(self.longest_s, now() - due_at)
-            due_at = now() + LAG_INTERVAL_S
-
-
-class _Signals:
-    """Sends signals to one forwarder, drawn from a seed, and starts its next process after each end."""
-
-    def __init__(self, forwarder: LimitedForwarder, seed: int) -> None:
-        self._forwarder = forwarder
-        self._random = random.Random(seed)
-        self.unexpected_exits: list[int] = []
-
-    def run(self, began_at: float) -> None:
-        """Send one or two series of signals within the time for signals."""
-        for _ in range(self._random.choice((1, 2))):
-            at = began_at + self._random.uniform(SIGNALS_FROM_S, SIGNALS_UNTIL_S)
-            time.sleep(max(0.0, at - now()))
-            if self._forwarder.killed_for_memory:
-                return
-            self._random.choice((self._kill, self._terminate, self._reload, self._kill))()
-
-    def _kill(self) -> None:
-        self._forwarder.kill()
-        self._restart()
-
-    def _terminate(self) -> None:
-        """End the process in order, with further signals behind the first; kill it when the platform would."""
-        process = self._process()
-        self._record(ProcessChange.TERMINATE)
-        process.send_signal(signal.SIGTERM)
-        for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGUSR1):
-            time.sleep(SERIES_INTERVAL_S)
-            process.send_signal(number)
-        with contextlib.suppress(subprocess.TimeoutExpired):
-            code = process.wait(KILL_AFTER_TERM_S)
-            if code != 0:
-                self.unexpected_exits.append(code)
-        self._forwarder.kill()
-        self._restart()
-
-    def _reload(self) -> None:
-        for number in (signal.SIGHUP, signal.SIGHUP, signal.SIGUSR1, signal.SIGHUP):
-            self._process().send_signal(number)
-            time.sleep(SERIES_INTERVAL_S)
-
-    def _restart(self) -> None:
-        time.sleep(DOWNTIME_S)
-        self._forwarder.start()
-
-    def _process(self) -> subprocess.Popen[bytes]:
-        process = self._forwarder.process
-        assert process is not None
-        return process
-
-    def _record(self, change: ProcessChange) -> None:
-        self._forwarder.recorder.add(ProcessEvent(now(), self._forwarder.name, change))
-
-
 class _SoakRun:
     """The forwarders, fakes and clients of one seed."""
 
@@ -223,7 +143,7 @@
             self._start_hostile_clients(forwarder)
         mode = self._random.choice(FAULT_MODES)
         self._destinations[0].inject_fault(mode, RUN_S / 3, FAULT_FRACTION)
-        signals = [_Signals(forwarder, self._random.getrandbits(32)) for forwarder in self._forwarders]
+        signals = [SignalSeries(forwarder, self._random.getrandbits(32)) for forwarder in self._forwarders]
         _run_together([lambda each=each: each.run(began_at) for each in signals])  # type: ignore[misc]
         clients.done.wait(RUN_S + 2 * DEADLINE_S)
         time.sleep(DEADLINE_S + SETTLE_S)
@@ -245,7 +165,7 @@
                 hostile_clients(forwarder.address, form, self._connections // processes, HOSTILE_S, seed)
             )
 
-    def _result(self, signals: list[_Signals]) -> SoakResult:
+    def _result(self, signals: list[SignalSeries]) -> SoakResult:
         lag_s = self._lag.longest_s
         bounds = replace(
             DEFAULT_BOUNDS,
@@ -262,7 +182,7 @@
         return result
 
 
-def _problems_of(forwarder: LimitedForwarder, signals: _Signals) -> list[str]:
+def _problems_of(forwarder: LimitedForwarder, signals: SignalSeries) -> list[str]:
     problems = [f"{forwarder.name} exited with {code}" for code in signals.unexpected_exits]
     if forwarder.killed_for_memory:
         problems.append(f"{forwarder.name} killed for memory")
--- a/tests/test_request_memory.py
+++ b/tests/test_request_memory.py
@@ -49,6 +49,17 @@
         time.sleep(0)
 
 
+def open_connections(resources: Resources, count: int) -> list[ClientConnection]:
+    """Return connections whose clients send nothing."""
+    clients = []
+    for number in range(count):
+        ours, theirs = socket.socketpair()
+        resources.callback(ours.close)
+        resources.callback(theirs.close)
+        clients.append(ClientConnection(number, ours))
+    return clients
+
+
 def test_the_shares_of_any_limit_fit_into_it() -> None:
     # Guards against shares that together exceed the memory limit, at the least memory that a deployment may have too.
     for memory_mb in range(32, 400):
@@ -173,12 +184,7 @@
         may_end.wait(WAIT_S)
 
     threads = ClientThreads(3, serve)
-    clients = []
-    for number in range(10):
-        ours, theirs = socket.socketpair()
-        resources.callback(ours.close)
-        resources.callback(theirs.close)
-        clients.append(ClientConnection(number, ours))
+    clients = open_connections(resources, 10)
     for client in clients:
         threads.submit(client)
     first = [served.get(timeout=WAIT_S) for _ in range(3)]
@@ -200,12 +206,7 @@
             may_end.wait(WAIT_S)
 
     threads = ClientThreads(MAX_BULKY_THREADS + 2, serve)
-    clients = []
-    for number in range(MAX_BULKY_THREADS + 5):
-        ours, theirs = socket.socketpair()
-        resources.callback(ours.close)
-        resources.callback(theirs.close)
-        clients.append(ClientConnection(number, ours))
+    clients = open_connections(resources, MAX_BULKY_THREADS + 5)
     *bulky, usual = clients
     for client in bulky:
         client.is_bulky = True
@@ -224,10 +225,7 @@
     # Guards against usual clients that find no free connection, as incomplete requests hold all of them.
     resumed: list[ClientConnection] = []
     incomplete = IncompleteRequests(0, resumed.append)
-    ours, theirs = socket.socketpair()
-    resources.callback(ours.close)
-    resources.callback(theirs.close)
-    client = ClientConnection(1, ours)
+    (client,) = open_connections(resources, 1)
     incomplete.queue(client)
     assert not incomplete.free_capacity(client.idle_since + MIN_AGE_S / 2)
     assert incomplete.has_queued
@@ -238,12 +236,7 @@
 def test_served_connections_get_a_permit_before_new_ones(resources: Resources) -> None:
     resumed: list[ClientConnection] = []
     incomplete = IncompleteRequests(1, resumed.append)
-    clients = []
-    for number in range(3):
-        ours, theirs = socket.socketpair()
-        resources.callback(ours.close)
-        resources.callback(theirs.close)
-        clients.append(ClientConnection(number, ours))
+    clients = open_connections(resources, 3)
     waiting, new, served = clients
     served.served = True
     assert incomplete.begin(waiting)
