--- a/juniperward/forwarder/descriptors.py
+++ b/juniperward/forwarder/descriptors.py
@@ -9,7 +9,8 @@
 
 # Descriptors outside the tables of connections: standard streams 3, state folder 1, journal and its compacted file 2,
 # listener and the connection that it has just accepted 2, watch and notifications 2, reload of the configuration 1,
-# spool 3, control channel 10 (listener, 8 clients, one more just accepted), and 8 for connections that are closing.
+# spool 3, control channel 10 (listener, 8 clients, one more just accepted), epoll object of resting clients 1, and 7
+# for connections that are closing.
 RESERVED_DESCRIPTORS = 32
 # The other descriptors are divided into equal shares. One share is for idle connections to endpoints.
 SHARE_COUNT = 7
