Mark a request as given up with its permit, so that its thread asks for no other

Found by reading: between the loss of its permit and the mark, a thread could ask for a permit again and queue up with a part of its input dropped; it was rejected with 503 all the same. Both now happen under the lock.

--- a/juniperward/forwarder/incomplete_requests.py
+++ b/juniperward/forwarder/incomplete_requests.py
@@ -77,7 +77,6 @@
         if ended or expired:
             increment("requests_given_up", len(ended) + len(expired))
         for client in ended:
-            client.given_up = True
             client.end_reading()
         for client in expired:
             client.given_up = True
@@ -107,6 +106,8 @@
         client = next(iter(self._waiting))
         del self._waiting[client]
         self._given_up.add(client)
+        # Its thread must not ask for another permit in between.
+        client.given_up = True
         return client
 
     def _resume_next(self) -> None:
