Close connections whose clients have left without a thread, before idle ones are evicted

Fix: the thread that waits for resting connections closes those that have ended and have nothing to read, and a full table looks for such before it evicts. The new test failed before.

--- a/juniperward/forwarder/resting_clients.py
+++ b/juniperward/forwarder/resting_clients.py
@@ -15,11 +15,13 @@
 
 from juniperward.forwarder.client_connection import ClientConnection
 from juniperward.forwarder.telemetry import increment, record_peak, report_fault
+from juniperward.net import sockets
 
 # Time limits of resting connections are checked at this interval.
 CHECK_INTERVAL_S = 0.1
 MAX_EVENTS = 64
 DISCARDED_AT_ONCE_BYTES = 65536
+END_EVENTS = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 WATCHED_EVENTS = select.EPOLLIN | select.EPOLLRDHUP | select.EPOLLONESHOT
 
 
@@ -116,9 +118,7 @@
         is_running = True
         while is_running:
             try:
-                events = self._epoll.poll(max(check_at - time.monotonic(), 0.0), MAX_EVENTS)
-                for descriptor, _ in events:
-                    self._take_ready(descriptor)
+                self.take_ready(max(check_at - time.monotonic(), 0.0))
                 now = time.monotonic()
                 if now >= check_at:
                     check_at = now + CHECK_INTERVAL_S
@@ -129,13 +129,20 @@
                 time.sleep(CHECK_INTERVAL_S)
         self._epoll.close()
 
-    def _take_ready(self, descriptor: int) -> None:
-        client = self._remove(descriptor)
-        if client is None:
-            return
+    def take_ready(self, timeout_s: float) -> None:
+        """Wait for input on any connection, and pass on or close those that have some; any thread may call it."""
+        for descriptor, events in self._epoll.poll(timeout_s, MAX_EVENTS):
+            client = self._remove(descriptor)
+            if client is not None:
+                self._take_client(client, events)
+
+    def _take_client(self, client: ClientConnection, events: int) -> None:
         if client.lingers:
             self._discard_input(client)
             return
+        if events & END_EVENTS and sockets.has_read_all_input(client.sock):
+            self._close(client)
+            return
         client.readable_at = time.monotonic()
         client.is_readable = True
         self._serve(client)
--- a/juniperward/forwarder/server.py
+++ b/juniperward/forwarder/server.py
@@ -241,10 +241,13 @@
         self.resting.add(client)
 
     def _free_capacity(self) -> Capacity:
-        """Close a connection of which nothing more is read, or give up an incomplete request.
+        """Close connections whose clients have left, one of which nothing more is read, or an incomplete request.
 
         While incomplete requests fill the table, no idle connection has to make way for further ones.
         """
+        self.resting.take_ready(0.0)
+        if not self.table.is_full:
+            return Capacity.EVICT
         if self.resting.close_oldest_lingering() or self.incomplete.free_capacity(time.monotonic()):
             return Capacity.FREED
         return Capacity.NONE if self.incomplete.has_queued else Capacity.EVICT
--- a/juniperward/net/sockets.py
+++ b/juniperward/net/sockets.py
@@ -58,15 +58,15 @@
     try:
         polled = poll.poll(0)
     except OSError:
-        return _has_read_all_input(sock)
+        return has_read_all_input(sock)
     if not polled:
         return False
     _, events = polled[0]
-    return bool(events & END_OF_INPUT) or _has_read_all_input(sock)
+    return bool(events & END_OF_INPUT) or has_read_all_input(sock)
 
 
-def _has_read_all_input(sock: socket.socket) -> bool:
-    """Return whether the next read would return the end of input or an error."""
+def has_read_all_input(sock: socket.socket) -> bool:
+    """Return whether the next read would return the end of input or an error, without waiting or reading."""
     try:
         return sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
     except BlockingIOError:
--- a/tests/player.py
+++ b/tests/player.py
@@ -269,11 +269,13 @@
             process.send_signal(signal.SIGHUP)
         elif what == "closed":
             until = time.monotonic() + WAIT_S
-            try:
-                while time.monotonic() < until:
+            while time.monotonic() < until:
+                try:
                     socket.create_connection(self.program.address, WAIT_S).close()
-            except ConnectionRefusedError:
-                return
+                except ConnectionRefusedError:
+                    return
+                except ConnectionResetError:
+                    continue  # It has crossed the close of the listener.
             raise AssertionError("the forwarder still accepts connections")
         elif what == "ended":
             assert self.program.process.wait(EXIT_TIMEOUT_S) == 0, "the exit status is not 0"
--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import socket
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
 from juniperward.forwarder.client_connection import ClientConnection
 from juniperward.forwarder.events import Event, MessageReceived
 from juniperward.forwarder.server import Server
+from juniperward.forwarder.telemetry import counters
 from tests.resources import UsesResources
 from tests.test_client_faults import NAMES, request
 
@@ -42,3 +44,18 @@
         assert journalled == []
         if end == "half-close":
             assert theirs.recv(100).startswith(b"HTTP/1.1 503 ")
+
+    def test_clients_that_connect_and_leave_do_not_take_the_places_of_others(self) -> None:
+        # Guards against a full table of connections whose clients have left, for which idle ones are evicted.
+        server = self.resources.closing(Server(("127.0.0.1", 0), NAMES, 4, lambda _: None))
+        address = server.listener.getsockname()
+        idle = self.resources.closing(socket.create_connection(address))
+        before = counters().get("rejections_connections", 0)
+        server.start()
+        with ThreadPoolExecutor(2) as pool:
+            for _ in range(200):
+                pool.submit(lambda: socket.create_connection(address).close())
+        assert counters().get("rejections_connections", 0) == before
+        idle.settimeout(0.0)
+        with pytest.raises(BlockingIOError):
+            idle.recv(1)
