--- a/juniperward/forwarder/resting_clients.py
+++ b/juniperward/forwarder/resting_clients.py
@@ -19,14 +19,20 @@
 
 # Time limits of resting connections are checked at this interval.
 CHECK_INTERVAL_S = 0.1
-MAX_EVENTS = 64
+# Connections of which input was reported and not looked at yet are at most so many.
+MAX_EVENTS = 16
 DISCARDED_AT_ONCE_BYTES = 65536
 END_EVENTS = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 WATCHED_EVENTS = select.EPOLLIN | select.EPOLLRDHUP | select.EPOLLONESHOT
 
 
 class RestingClients:
-    """Connections without a thread; `add` may be called from any thread."""
+    """Connections without a thread; `add` may be called from any thread.
+
+    Attributes:
+        is_in_progress: Whether connections are just being looked at, of which some may be closed.
+
+    """
 
     def __init__(
         self,
@@ -47,6 +53,7 @@
         self._lingering: dict[int, ClientConnection] = {}
         self._discarded = bytearray(DISCARDED_AT_ONCE_BYTES)
         self._thread: threading.Thread | None = None
+        self.is_in_progress = False
 
     @property
     def count(self) -> int:
@@ -118,20 +125,27 @@
         is_running = True
         while is_running:
             try:
-                self.take_ready(max(check_at - time.monotonic(), 0.0))
+                reported = self._epoll.poll(max(check_at - time.monotonic(), 0.0), MAX_EVENTS)
+                self.is_in_progress = bool(reported)
+                self._take(reported)
+                self.is_in_progress = False
                 now = time.monotonic()
                 if now >= check_at:
                     check_at = now + CHECK_INTERVAL_S
                     self._end_expired(now)
                     is_running = self._check(now)
             except Exception as error:
+                self.is_in_progress = False
                 report_fault("resting_clients", error)
                 time.sleep(CHECK_INTERVAL_S)
         self._epoll.close()
 
-    def take_ready(self, timeout_s: float) -> None:
-        """Wait for input on any connection, and pass on or close those that have some; any thread may call it."""
-        for descriptor, events in self._epoll.poll(timeout_s, MAX_EVENTS):
+    def take_ready(self) -> None:
+        """Pass on or close the connections that have input, without waiting; any thread may call it."""
+        self._take(self._epoll.poll(0.0, MAX_EVENTS))
+
+    def _take(self, reported: list[tuple[int, int]]) -> None:
+        for descriptor, events in reported:
             client = self._remove(descriptor)
             if client is not None:
                 self._take_client(client, events)
--- a/juniperward/forwarder/server.py
+++ b/juniperward/forwarder/server.py
@@ -245,9 +245,11 @@
 
         While incomplete requests fill the table, no idle connection has to make way for further ones.
         """
-        self.resting.take_ready(0.0)
+        self.resting.take_ready()
         if not self.table.is_full:
             return Capacity.EVICT
+        if self.resting.is_in_progress:
+            return Capacity.FREED
         if self.resting.close_oldest_lingering() or self.incomplete.free_capacity(time.monotonic()):
             return Capacity.FREED
         return Capacity.NONE if self.incomplete.has_queued else Capacity.EVICT
--- a/tests/player.py
+++ b/tests/player.py
@@ -268,19 +268,23 @@
             (program.folder / "config.json").write_text(text)
             process.send_signal(signal.SIGHUP)
         elif what == "closed":
-            until = time.monotonic() + WAIT_S
-            while time.monotonic() < until:
-                try:
-                    socket.create_connection(self.program.address, WAIT_S).close()
-                except ConnectionRefusedError:
-                    return
-                except ConnectionResetError:
-                    continue  # It has crossed the close of the listener.
-            raise AssertionError("the forwarder still accepts connections")
+            self._wait_until_refused()
         elif what == "ended":
             assert self.program.process.wait(EXIT_TIMEOUT_S) == 0, "the exit status is not 0"
             self.program.kill()
 
+    def _wait_until_refused(self) -> None:
+        """Connect until the forwarder refuses connections."""
+        until = time.monotonic() + WAIT_S
+        while time.monotonic() < until:
+            try:
+                socket.create_connection(self.program.address, WAIT_S).close()
+            except ConnectionRefusedError:
+                return
+            except ConnectionResetError:
+                continue  # It has crossed the close of the listener.
+        raise AssertionError("the forwarder still accepts connections")
+
 
 def _encode(text: str) -> bytes:
     data = text.removesuffix("\\").encode("latin-1")
