Comments of the memory limits as sentences that can be read alone

Comments and docstrings only; the syntax trees without docstrings are the same. is_bulky does not tell of invalid requests, whose connections are closed.

--- a/juniperward/forwarder/client_connection.py
+++ b/juniperward/forwarder/client_connection.py
@@ -26,7 +26,7 @@
 # connection, and the client may lose the answer. The number of bytes is limited, as some clients send 60 MB.
 LINGER_TIMEOUT_S = 0.2
 MAX_LINGER_BYTES = 262144
-# What is read at once. A connection that waits for a thread holds less than this of its next requests.
+# A read takes at most this much, so that a connection that waits for a thread holds less of its next requests.
 READ_BYTES = 2048
 
 
@@ -75,7 +75,7 @@
         readable_at: When it has seen that input (monotonic seconds).
         unparsed: What was read of a request before its parsing began.
         resumes: Whether the parsing of a request begins again, after a wait for a permit.
-        is_bulky: Whether the last request was large, invalid, or followed by others without a pause.
+        is_bulky: Whether the last request was large, or came together with further ones.
         lingers: Whether input is only discarded until the connection is closed.
         linger_bytes: How many more bytes may be discarded.
         request_bytes: How many bytes were received since the connection last waited for a request.
--- a/juniperward/forwarder/memory_limits.py
+++ b/juniperward/forwarder/memory_limits.py
@@ -11,13 +11,13 @@
 from juniperward.forwarder.descriptors import ConnectionLimits
 from juniperward.net.http_head import MAX_BODY_BYTES, MAX_HEAD_BYTES
 
-# The process without clients, calls and messages: the interpreter, the program and its lists.
+# A process without clients, calls and messages needs this much for the interpreter, the program and its lists.
 FIXED_BYTES = 19_000_000
-# The least that is divided: below it, a forwarder would accept hardly anything.
+# At least this much is divided, as with less a forwarder would accept hardly anything.
 MIN_DIVIDED_BYTES = 6_000_000
-# What remains free of the divided part, for the fragmentation of the heap and for what the running threads copy.
+# This part stays free for the fragmentation of the heap and for what the running threads copy.
 SPARE_FRACTION = 0.2
-# The shares of the rest; together 1.
+# These shares of the rest are 1 together.
 CONNECTIONS_FRACTION = 0.25
 CLIENT_THREADS_FRACTION = 0.15
 CALLS_FRACTION = 0.15
@@ -27,13 +27,13 @@
 MESSAGES_FRACTION = 0.2
 COMPLETED_IDS_FRACTION = 0.05
 
-# A connection of a client without a thread: its socket, its state, its place in the tables, and what was read ahead.
+# A client's connection without a thread has its socket, its state, its places in tables, and what was read ahead.
 CLIENT_CONNECTION_BYTES = 4 * 1024
-# A thread of a client with its stack, and with the head that it reads: what came, and two copies of the lines.
+# A client's thread has its stack and the head that it reads: what came, and two copies of the lines.
 CLIENT_THREAD_BYTES = 80 * 1024
-# A thread of a call with its stack, and with the first bytes of the answer that it reads.
+# A call's thread has its stack and the first bytes of the answer that it reads.
 CALL_BYTES = 36 * 1024
-# A large answer: what came of the head and two copies of its lines, and the body in parts and whole.
+# A large answer is held as what came of its head, two copies of its lines, and its body in parts and whole.
 LARGE_ANSWER_BYTES = 3 * MAX_HEAD_BYTES + 2 * MAX_BODY_BYTES
 # A pending message is held as its content and as its line in the journal, in Base64, and copied by compactions.
 MESSAGE_COPIES = 3
@@ -46,7 +46,7 @@
 MIN_CLIENTS = 16
 MIN_CALLS = 16
 MIN_LARGE_ANSWERS = 4
-# Enough for several of the largest bodies at once.
+# Several of the largest bodies fit at once.
 MIN_REQUEST_BYTES = 4 * MAX_BODY_BYTES
 MIN_MESSAGE_BYTES = 4 * MAX_BODY_BYTES
 
--- a/juniperward/forwarder/model.py
+++ b/juniperward/forwarder/model.py
@@ -43,7 +43,7 @@
         return replace(self, time_left_s=other.time_left_s, executed_ago_s=other.executed_ago_s) == other
 
 
-# The objects of a message beside its texts and its body.
+# The objects of a message take this much beside its texts and its body.
 MESSAGE_OVERHEAD_BYTES = 512
 
 
--- a/juniperward/forwarder/state.py
+++ b/juniperward/forwarder/state.py
@@ -11,7 +11,7 @@
 from juniperward.forwarder.events import MessageReceived
 from juniperward.forwarder.model import Endpoint, Message, OutcomeNotification, PastAttempt, message_bytes
 
-# What the id of a completed message takes beside its characters: the objects and the table's entry.
+# The id of a completed message takes this much beside its characters, for its objects and the table's entry.
 COMPLETED_ID_OVERHEAD_BYTES = 180
 
 
