Count and log what endpoints send without a call

A connection with bytes on it before a call was closed without a word, and bytes right behind an answer were counted without the endpoint. Neither could be told from a connection that its endpoint had ended. Both are now counted as stray_answers and logged with the endpoint's address. No decision changes.

--- a/juniperward/forwarder/attempt_call.py
+++ b/juniperward/forwarder/attempt_call.py
@@ -21,6 +21,7 @@
 from juniperward.forwarder.model import AttemptProgress, BatchItem, ItemOutcome
 from juniperward.forwarder.records import AttemptStartedRecord, JournalRecord
 from juniperward.forwarder.send_gate import SendGate
+from juniperward.forwarder.stray_answers import report_stray_bytes
 from juniperward.forwarder.telemetry import increment, log
 from juniperward.forwarder.trace import Trace
 from juniperward.net.http_errors import IncompleteMessageError, MalformedMessageError
@@ -154,6 +155,7 @@
         if connection.stream.buffer:
             # `release` closes the connection, so that these bytes are not taken for the next answer.
             increment("answers_with_excess")
+            report_stray_bytes("behind an answer", connection.address)
         self._connections.release(call, connection, answer)
         return read_outcomes(attempt, answer, on_new_connection)
 
--- a/juniperward/forwarder/connection_pool.py
+++ b/juniperward/forwarder/connection_pool.py
@@ -11,7 +11,9 @@
 import time
 
 from juniperward.forwarder.endpoint_connection import NOT_LIMITED, EndpointConnection
+from juniperward.forwarder.stray_answers import report_stray_bytes
 from juniperward.net import sockets
+from juniperward.net.sockets import IdleState
 
 # An idle connection is closed after this fraction of the endpoints' keepalive time.
 MAX_IDLE_KEEPALIVE_FRACTION = 0.9
@@ -129,9 +131,14 @@
 
 
 def _is_usable(connection: EndpointConnection, address: tuple[str, int]) -> bool:
-    """Return whether a connection is open, has the right address and holds no excess bytes."""
-    is_same_address = connection.address == address
-    return is_same_address and not connection.stream.buffer and sockets.is_reusable(connection.sock)
+    """Return whether a connection is open, has the right address and holds no stray bytes."""
+    if connection.address != address:
+        return False
+    state = sockets.idle_state(connection.sock)
+    if state is IdleState.RECEIVED or connection.stream.buffer:
+        report_stray_bytes("between calls", connection.address)
+        return False
+    return state is IdleState.SILENT
 
 
 def _close_all(connections: list[EndpointConnection]) -> None:
--- a/juniperward/net/sockets.py
+++ b/juniperward/net/sockets.py
@@ -7,6 +7,7 @@
 import socket
 import struct
 import time
+from enum import Enum
 
 MICROSECONDS_PER_S = 1_000_000
 # Events of poll() that tell that the peer has ended its side or that the connection is broken.
@@ -75,15 +76,28 @@
         return True
 
 
-def is_reusable(sock: socket.socket) -> bool:
-    """Return whether the connection is open and nothing was received, without waiting or reading."""
+class IdleState(Enum):
+    """What a peer has done on a connection on which nothing is expected from it."""
+
+    SILENT = "silent"
+    RECEIVED = "received"  # Bytes have arrived.
+    ENDED = "ended"  # The peer has ended its side, or the connection is broken.
+
+
+def idle_state(sock: socket.socket) -> IdleState:
+    """Return the state of an idle connection, without waiting or reading."""
     try:
-        sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        data = sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
     except BlockingIOError:
-        return True
+        return IdleState.SILENT
     except OSError:
-        return False
-    return False
+        return IdleState.ENDED
+    return IdleState.RECEIVED if data else IdleState.ENDED
+
+
+def is_reusable(sock: socket.socket) -> bool:
+    """Return whether the connection is open and nothing was received, without waiting or reading."""
+    return idle_state(sock) is IdleState.SILENT
 
 
 class DeadlineReader:
--- a/tests/test_stray_answers.py
+++ b/tests/test_stray_answers.py
@@ -14,8 +14,6 @@
 import time
 from collections.abc import Callable
 
-import pytest
-
 from juniperward.forwarder.discovery_client import DiscoveryClient
 from juniperward.forwarder.effects import StartAttempt, StartHealthCheck
 from juniperward.forwarder.events import AttemptAnswered, Event, HealthCheckAnswered, NotificationAcknowledged
@@ -27,7 +25,7 @@
 from juniperward.net.stream import Stream
 from juniperward.scheduler.events import Outcome
 from tests.endpoint_client_rig import EndpointClientRig
-from tests.resources import Resources, UsesResources
+from tests.resources import UsesResources
 
 DELIVERED = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 REJECTED = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
@@ -100,10 +98,6 @@
 
 
 class TestHealthChecks(EndpointClientRig):
-    @pytest.fixture(autouse=True)
-    def set_up(self, resources: Resources) -> None:
-        self.listen(resources)
-
     def test_a_copy_of_an_earlier_answer_does_not_end_the_next_health_check(self) -> None:
         # Guards against an endpoint that counts as healthy for an answer that it sent before.
         answers = iter([DELIVERED, REJECTED])
