Let no answer settle a call that an earlier call can have caused

Callers saw messages that were accepted and neither delivered nor notified, and messages out twice or run twice, beside endpoints that send a second copy of an answer. Cause: an answer belonged to a call by its order on the connection and by nothing else; a copy that crossed the next call ended it, and the true answer ended the call after that.

On a connection's first call every answer is its own. On a reused one, what an earlier call caused arrives within the round trip and the endpoint's reading time behind the call's last byte. An answer within a longer window, half of the fastest of the destination's recent answers, is in doubt and settles nothing, whatever it says: the call stays out, its connection is not used again, and an answer that begins after the connection was seen silent behind the window counts. If none follows, the connection is closed and the messages possibly executed. The system's buffer is looked at when the window ends, so a late thread makes doubts and no false answers. Connections are reused only while the window is longer than a crossing takes, and not for 300 s after a stray answer of the destination. A batch's answer that does not list its messages is not its answer, and its connection is closed.

--- a/juniperward/forwarder/answers.py
+++ b/juniperward/forwarder/answers.py
@@ -94,6 +94,13 @@
     )
 
 
+def is_answer_to(attempt: StartAttempt, answer: HttpResponse) -> bool:
+    """Return whether an answer can belong to an attempt: one to a batch with status 200 lists just its messages."""
+    if answer.status != HttpStatus.OK or len(attempt.items) == 1:
+        return True
+    return _read_states(attempt, answer).keys() == {item.content.id for item in attempt.items}
+
+
 def _is_connection_table_full(answer: HttpResponse) -> bool:
     """Return whether a 503 on a new connection means that the endpoint's connection table is full.
 
--- a/juniperward/forwarder/attempt_call.py
+++ b/juniperward/forwarder/attempt_call.py
@@ -13,19 +13,19 @@
 
 from juniperward.forwarder.active_call import ActiveCall
 from juniperward.forwarder.address import format_address
-from juniperward.forwarder.answers import read_outcomes, same_outcomes
+from juniperward.forwarder.answer_headers import read_retry_after
+from juniperward.forwarder.answers import is_answer_to, read_outcomes, same_outcomes
 from juniperward.forwarder.effects import StartAttempt
 from juniperward.forwarder.endpoint_connection import EndpointConnection
 from juniperward.forwarder.endpoint_connections import EndpointConnections
 from juniperward.forwarder.endpoint_requests import encode_attempt
 from juniperward.forwarder.model import AttemptProgress, BatchItem, ItemOutcome
+from juniperward.forwarder.own_answer import AnswerInDoubtError, read_own_answer
 from juniperward.forwarder.records import AttemptStartedRecord, JournalRecord
 from juniperward.forwarder.send_gate import SendGate
-from juniperward.forwarder.stray_answers import report_stray_bytes
 from juniperward.forwarder.telemetry import increment, log
 from juniperward.forwarder.trace import Trace
 from juniperward.net.http_errors import IncompleteMessageError, MalformedMessageError
-from juniperward.net.http_responses import read_response
 from juniperward.net.http_status import HttpStatus
 from juniperward.scheduler.events import Outcome
 
@@ -57,7 +57,7 @@
         connection = self._connections.connect(call)
         if connection is None:
             return same_outcomes(attempt, Outcome.CONNECT_FAILED, written=False)
-        if connection.reused:
+        if connection.window is not None:
             increment("connections_reused")
         journalled = self._journal_starts(attempt, self._sendable(call, attempt, attempt.items))
         request = self._begin_writing(call, _with_items(attempt, journalled))
@@ -143,20 +143,27 @@
         with self._gate.lock:
             call.progress = AttemptProgress.WRITTEN
         try:
-            answer = read_response(connection.stream, connection.set_answer_begun)
+            answer = read_own_answer(
+                connection, lambda doubtful: self._connections.pause_route(call, doubtful)
+            )
+        except AnswerInDoubtError as error:
+            connection.close()
+            self._connections.add_answer_time(call, connection)
+            return _outcomes_in_doubt(call, attempt, error)
         except (IncompleteMessageError, MalformedMessageError, OSError) as error:
             connection.close()
             return _outcomes_without_answer(call, attempt, error)
-        on_new_connection = not connection.reused
+        self._connections.add_answer_time(call, connection)
+        on_new_connection = connection.window is None
+        is_expected = is_answer_to(attempt, answer)
+        if not is_expected and not on_new_connection:
+            connection.close()
+            return _outcomes_in_doubt(call, attempt, AnswerInDoubtError([answer]))
         if self.trace is not None:
             self.trace.write_answer(
                 attempt.number, on_new_connection, answer.status, answer.close, f"{dict(answer.headers)}"
             )
-        if connection.stream.buffer:
-            # `release` closes the connection, so that these bytes are not taken for the next answer.
-            increment("answers_with_excess")
-            report_stray_bytes("behind an answer", connection.address)
-        self._connections.release(call, connection, answer)
+        self._connections.release(call, connection, answer, intact=is_expected)
         return read_outcomes(attempt, answer, on_new_connection)
 
 
@@ -194,3 +201,17 @@
     is_single = len(attempt.items) == 1
     delivered = is_single and getattr(error, "status", None) == HttpStatus.OK
     return same_outcomes(attempt, Outcome.OK if delivered else Outcome.RESET)
+
+
+def _outcomes_in_doubt(
+    call: ActiveCall, attempt: StartAttempt, error: AnswerInDoubtError
+) -> tuple[ItemOutcome, ...]:
+    """Return outcomes that leave open whether the messages executed, with the longest Retry-After in doubt."""
+    if not call.cancelled:
+        endpoint = format_address((attempt.host, attempt.port))
+        increment("answers_not_attributed")
+        log("endpoint", "answer in doubt; treated as a reset", endpoint=endpoint, answers=len(error.answers))
+    retry_after_s = max((read_retry_after(answer.headers) for answer in error.answers), default=0.0)
+    return tuple(
+        replace(outcome, retry_after_s=retry_after_s) for outcome in same_outcomes(attempt, Outcome.RESET)
+    )
--- a/juniperward/forwarder/connection_pool.py
+++ b/juniperward/forwarder/connection_pool.py
@@ -10,15 +10,15 @@
 import threading
 import time
 
+from juniperward.forwarder.connection_reuse import ConnectionReuse
 from juniperward.forwarder.endpoint_connection import NOT_LIMITED, EndpointConnection
-from juniperward.forwarder.stray_answers import report_stray_bytes
 from juniperward.net import sockets
 from juniperward.net.sockets import IdleState
 
 # An idle connection is closed after this fraction of the endpoints' keepalive time.
 MAX_IDLE_KEEPALIVE_FRACTION = 0.9
-# The minimum time between an answer and the next call on its connection. Excess bytes after the answer arrive
-# within it, and are not taken for the next answer.
+# The minimum time between an answer and the next call on its connection. What an endpoint sends right behind an
+# answer arrives within it, and the connection is closed without a call in doubt.
 MIN_IDLE_S = 0.01
 
 
@@ -36,12 +36,14 @@
         self,
         keepalive_s: float,
         max_connections: int,
+        reuse: ConnectionReuse,
         blocking: contextlib.AbstractContextManager[None] = NOT_LIMITED,
     ) -> None:
         """Start empty; `keepalive_s` is the time after which endpoints close idle connections.
 
-        `blocking` is entered while a thread sleeps.
+        Bytes on an idle connection are reported to `reuse`; `blocking` is entered while a thread sleeps.
         """
+        self._reuse = reuse
         self._blocking = blocking
         self.max_idle_s = keepalive_s * MAX_IDLE_KEEPALIVE_FRACTION
         self.max_connections = max_connections
@@ -49,7 +51,7 @@
         self._draining: set[int] = set()
         self._lock = threading.Lock()
 
-    def take(self, endpoint: int, address: tuple[str, int]) -> EndpointConnection | None:
+    def take(self, endpoint: int, destination: int, address: tuple[str, int]) -> EndpointConnection | None:
         """Return a usable connection, or None; unusable connections that are found first are closed.
 
         The most recently used connection that has been idle for MIN_IDLE_S is preferred. If there is none,
@@ -63,11 +65,20 @@
             if idle_s < MIN_IDLE_S:
                 with self._blocking:
                     time.sleep(MIN_IDLE_S - idle_s)
-            if idle_s < self.max_idle_s and _is_usable(connection, address):
-                connection.reused = True
+            if idle_s < self.max_idle_s and self._is_usable(connection, destination, address):
                 return connection
             connection.close()
 
+    def _is_usable(self, connection: EndpointConnection, destination: int, address: tuple[str, int]) -> bool:
+        """Return whether a connection is open, has the right address and holds no stray bytes."""
+        if connection.address != address:
+            return False
+        state = sockets.idle_state(connection.sock)
+        if state is IdleState.RECEIVED or connection.stream.buffer:
+            self._reuse.report_stray_bytes(destination, "between calls", address)
+            return False
+        return state is IdleState.SILENT
+
     def _pop(self, endpoint: int) -> EndpointConnection | None:
         now = time.monotonic()
         with self._lock:
@@ -130,17 +141,6 @@
         _close_all(expired)
 
 
-def _is_usable(connection: EndpointConnection, address: tuple[str, int]) -> bool:
-    """Return whether a connection is open, has the right address and holds no stray bytes."""
-    if connection.address != address:
-        return False
-    state = sockets.idle_state(connection.sock)
-    if state is IdleState.RECEIVED or connection.stream.buffer:
-        report_stray_bytes("between calls", connection.address)
-        return False
-    return state is IdleState.SILENT
-
-
 def _close_all(connections: list[EndpointConnection]) -> None:
     for connection in connections:
         connection.close()
--- a/juniperward/forwarder/endpoint_client.py
+++ b/juniperward/forwarder/endpoint_client.py
@@ -18,6 +18,7 @@
 from juniperward.forwarder.attempt_call import AttemptCalls
 from juniperward.forwarder.concurrency_limit import MAX_RUNNING_THREADS, ConcurrencyLimit
 from juniperward.forwarder.connection_pool import ConnectionPool
+from juniperward.forwarder.connection_reuse import ConnectionReuse
 from juniperward.forwarder.effects import StartAttempt, StartHealthCheck
 from juniperward.forwarder.endpoint_connection import (
     MAX_LARGE_ANSWERS,
@@ -75,12 +76,15 @@
         """Start without threads; `post` takes results, `append` writes to the journal and raises OSError."""
         self._running = ConcurrencyLimit(MAX_RUNNING_THREADS, "calls")
         blocking = self._running.blocking
-        self.pool = ConnectionPool(limits.keepalive_s, limits.max_idle_connections, blocking)
+        self.reuse = ConnectionReuse()
+        self.pool = ConnectionPool(limits.keepalive_s, limits.max_idle_connections, self.reuse, blocking)
         self.gate = SendGate()
         answer_limits = AnswerLimits(
             max(limits.read_timeout_s, MIN_READ_TIMEOUT_S), LargeAnswers(limits.max_large_answers), blocking
         )
-        self.connections = EndpointConnections(self.pool, self.gate, limits.dial_timeout_s, answer_limits)
+        self.connections = EndpointConnections(
+            self.pool, self.reuse, self.gate, limits.dial_timeout_s, answer_limits
+        )
         self.attempts = AttemptCalls(self.connections, self.gate, append)
         self.health_checks = HealthCheckCalls(self.connections, self.gate)
         self.max_threads = limits.max_threads
--- a/juniperward/forwarder/endpoint_connection.py
+++ b/juniperward/forwarder/endpoint_connection.py
@@ -8,9 +8,11 @@
 import time
 from dataclasses import dataclass
 
+from juniperward.forwarder.connection_reuse import DoubtWindow
 from juniperward.forwarder.telemetry import increment
 from juniperward.net import sockets
-from juniperward.net.stream import Stream
+from juniperward.net.http_errors import IncompleteMessageError
+from juniperward.net.stream import CLOSED_BY_PEER, Stream
 
 # The time limit of a read, unless a message class has a longer deadline.
 MIN_READ_TIMEOUT_S = 60.0
@@ -67,7 +69,11 @@
 
     Attributes:
         idle_since: when the connection was opened or last put into the pool, monotonic.
-        reused: whether it was taken from the pool.
+        window: when an answer is in doubt, as the connection has carried an earlier call; None on its first call.
+        is_in_doubt: whether something was received within that window.
+        round_trip_s: how long connecting took.
+        written_at: when the last byte of the latest call was written, monotonic.
+        begun_at: when the latest answer began to arrive, monotonic.
         transfer_deadline: when an answer that has begun must be complete, monotonic; None before it begins.
         answer_deadline: when an answer must be complete, whenever it begins, monotonic; None for no limit.
 
@@ -78,21 +84,67 @@
         sock: socket.socket,
         address: tuple[str, int],
         limits: AnswerLimits = DEFAULT_ANSWER_LIMITS,
+        round_trip_s: float = 0.0,
     ) -> None:
         """Use a connected socket; `limits` are shared with other connections."""
+        self.round_trip_s = round_trip_s
         self.sock, self.address, self._limits = sock, address, limits
         self._blocking = limits.blocking
         self.stream = Stream(self._receive, READ_BYTES)
         self._answer_bytes = 0
         self._has_permit = False
         self.idle_since = time.monotonic()
-        self.reused = False
+        self.window: DoubtWindow | None = None
+        self.is_in_doubt = False
+        self.written_at = self.begun_at = self.idle_since
         self.transfer_deadline: float | None = None
         self.answer_deadline: float | None = None
 
     def set_answer_begun(self, begun: bool) -> None:
         """Start the time limit for the transfer of an answer, or clear it while no answer has begun."""
-        self.transfer_deadline = time.monotonic() + MAX_ANSWER_TRANSFER_S if begun else None
+        if not begun:
+            self.transfer_deadline = None
+            return
+        self.begun_at = time.monotonic()
+        self.transfer_deadline = self.begun_at + MAX_ANSWER_TRANSFER_S
+
+    def limit_answer(self, deadline: float) -> None:
+        """Let answers be complete by `deadline`, or by an earlier time that was set before."""
+        self.answer_deadline = min(deadline, self.answer_deadline or deadline)
+
+    def is_silent_until(self, at: float) -> bool:
+        """Return whether nothing is received until `at`, or now if that is over; what is received is kept.
+
+        The time is that of the system's buffer: the thread may come to read it much later.
+
+        Raises:
+            IncompleteMessageError: if the connection ends.
+
+        """
+        if self.stream.buffer:
+            return False
+        while True:
+            try:
+                data = self._receive_until(at)
+            except BlockingIOError:
+                if time.monotonic() >= at:
+                    return True
+                continue
+            except ConnectionError as error:
+                raise IncompleteMessageError(str(error)) from error
+            if not data:
+                raise IncompleteMessageError(CLOSED_BY_PEER)
+            self._answer_bytes += len(data)
+            self.stream.buffer += data
+            return False
+
+    def _receive_until(self, at: float) -> bytes:
+        remaining_s = at - time.monotonic()
+        if remaining_s <= 0:
+            return self.sock.recv(READ_BYTES, socket.MSG_DONTWAIT)
+        sockets.set_timeout(self.sock, socket.SO_RCVTIMEO, remaining_s)
+        with self._blocking:
+            return self.sock.recv(READ_BYTES)
 
     def send(self, data: bytes) -> None:
         """Write a request; raises OSError."""
@@ -102,6 +154,7 @@
         if sent_bytes < len(data):
             with self._blocking:
                 self.sock.sendall(data[sent_bytes:])
+        self.written_at = time.monotonic()
 
     def close(self) -> None:
         """Close the socket."""
--- a/juniperward/forwarder/endpoint_connections.py
+++ b/juniperward/forwarder/endpoint_connections.py
@@ -12,6 +12,7 @@
 from juniperward.forwarder.address import format_address
 from juniperward.forwarder.answer_headers import read_retry_after
 from juniperward.forwarder.connection_pool import ConnectionPool
+from juniperward.forwarder.connection_reuse import ConnectionReuse
 from juniperward.forwarder.endpoint_connection import (
     DEFAULT_ANSWER_LIMITS,
     AnswerLimits,
@@ -30,28 +31,45 @@
     def __init__(
         self,
         pool: ConnectionPool,
+        reuse: ConnectionReuse,
         gate: SendGate,
         dial_timeout_s: float,
         limits: AnswerLimits = DEFAULT_ANSWER_LIMITS,
     ) -> None:
-        """Use the idle connections of `pool`; a Retry-After in an answer pauses its route at `gate`.
+        """Use the idle connections of `pool` as `reuse` allows.
 
-        `limits` are those of the reads of all connections.
+        A Retry-After in an answer pauses its route at `gate`; `limits` are those of the reads of all connections.
         """
         self._limits, self._blocking = limits, limits.blocking
-        self._pool, self._gate = pool, gate
+        self._pool, self._reuse, self._gate = pool, reuse, gate
         self.dial_timeout_s = dial_timeout_s
 
     def connect(self, call: ActiveCall) -> EndpointConnection | None:
         """Return a connection for a call, None if none can be established; sets `call.sock` to its socket."""
-        address = (call.effect.host, call.effect.port)
-        connection = self._pool.take(call.effect.endpoint, address)
+        connection = self._take_idle(call)
         if connection is None:
-            return self._dial(call, address)
+            return self.dial(call)
         call.sock = connection.sock
         return connection
 
-    def _dial(self, call: ActiveCall, address: tuple[str, int]) -> EndpointConnection | None:
+    def _take_idle(self, call: ActiveCall) -> EndpointConnection | None:
+        """Return an idle connection on which the answer to the call can be told from earlier ones."""
+        effect = call.effect
+        if self._reuse.window(effect.destination) is None:
+            self._pool.close_idle(effect.endpoint)
+            return None
+        connection = self._pool.take(effect.endpoint, effect.destination, (effect.host, effect.port))
+        if connection is None:
+            return None
+        connection.window = self._reuse.window(effect.destination, connection.round_trip_s)
+        if connection.window is None:
+            connection.close()
+            return None
+        return connection
+
+    def dial(self, call: ActiveCall) -> EndpointConnection | None:
+        """Return a new connection for a call, None if it cannot be established; sets `call.sock` to its socket."""
+        address = (call.effect.host, call.effect.port)
         try:
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         except OSError as error:
@@ -59,7 +77,8 @@
             log("dial", "socket not created; call not sent", endpoint=format_address(address), error=error)
             return None
         call.sock = sock
-        remaining_s = min(self.dial_timeout_s, call.effect.deadline - time.monotonic())
+        began = time.monotonic()
+        remaining_s = min(self.dial_timeout_s, call.effect.deadline - began)
         try:
             if call.cancelled or remaining_s <= 0:
                 raise TimeoutError
@@ -78,17 +97,27 @@
             )
             return None
         increment("connections_opened")
-        return EndpointConnection(sock, address, self._limits)
+        return EndpointConnection(sock, address, self._limits, time.monotonic() - began)
 
     def put_back(self, call: ActiveCall, connection: EndpointConnection) -> None:
         """Put back a connection on which nothing was sent."""
         with self._gate.lock:
             call.sock = None  # The next call on the connection must not be hit by a cancellation of this one.
-        self._pool.put_back(call.effect.endpoint, connection)
+        self._put_back_or_close(call, connection)
+
+    def _put_back_or_close(self, call: ActiveCall, connection: EndpointConnection) -> None:
+        if self._reuse.window(call.effect.destination, connection.round_trip_s) is None:
+            connection.close()
+        else:
+            self._pool.put_back(call.effect.endpoint, connection)
 
-    def release(self, call: ActiveCall, connection: EndpointConnection, answer: HttpResponse) -> None:
+    def release(
+        self, call: ActiveCall, connection: EndpointConnection, answer: HttpResponse, *, intact: bool = True
+    ) -> None:
         """Put back or close the connection of an answered call, and pause its route for a Retry-After.
 
+        A connection that is not `intact` is closed, as the answer was not of the expected form.
+
         The route is paused here and not when the loop handles the answer, since other threads may send calls
         until then. On a busy process that takes longer than the 100 ms that the protocol allows.
         """
@@ -98,10 +127,31 @@
                 # A cancellation is too late from now on: the outcome counts.
                 call.progress = AttemptProgress.FINISHED
         connection.end_answer()
-        if answer.close or call.cancelled or connection.stream.buffer:
+        stray = self._report_stray_bytes(call, connection)
+        if answer.close or call.cancelled or stray or not intact:
             connection.close()
         else:
-            self._pool.put_back(call.effect.endpoint, connection)
+            self._put_back_or_close(call, connection)
+        self.pause_route(call, answer)
+
+    def _report_stray_bytes(self, call: ActiveCall, connection: EndpointConnection) -> bool:
+        """Return whether more was received than the answer to an answered call, and report it."""
+        if connection.is_in_doubt:
+            when = "ahead of an answer"
+        elif connection.stream.buffer:
+            when = "behind an answer"
+            increment("answers_with_excess")
+        else:
+            return False
+        self._reuse.report_stray_bytes(call.effect.destination, when, connection.address)
+        return True
+
+    def add_answer_time(self, call: ActiveCall, connection: EndpointConnection) -> None:
+        """Add the time that an endpoint took to answer; call it for attempts, as other requests take less."""
+        self._reuse.add_answer(call.effect.destination, connection.begun_at - connection.written_at)
+
+    def pause_route(self, call: ActiveCall, answer: HttpResponse) -> None:
+        """Pause the route of a call for the Retry-After of an answer, which may be in doubt."""
         retry_after_s = read_retry_after(answer.headers)
         if retry_after_s > 0:
             self._gate.pause_route(route_of(call.effect), time.monotonic() + retry_after_s)
--- a/juniperward/forwarder/health_check_call.py
+++ b/juniperward/forwarder/health_check_call.py
@@ -44,7 +44,7 @@
             self._connections.put_back(call, connection)
             return health_check_without_answer(check, Outcome.NOT_SENT, began)
         connection.answer_deadline = check.deadline
-        on_new_connection = not connection.reused
+        on_new_connection = connection.window is None
         try:
             connection.send(encode_health_check(check))
             answer = read_response(connection.stream, connection.set_answer_begun)
--- a/tests/test_stray_answers.py
+++ b/tests/test_stray_answers.py
@@ -100,6 +100,7 @@
 class TestHealthChecks(EndpointClientRig):
     def test_a_copy_of_an_earlier_answer_does_not_end_the_next_health_check(self) -> None:
         # Guards against an endpoint that counts as healthy for an answer that it sent before.
+        self.allow_reuse()
         answers = iter([DELIVERED, REJECTED])
         peer = self.resources.closing(CopyingPeer(lambda _: next(answers), SERVICE_S))
         for number, expected in enumerate((Outcome.OK, Outcome.OVERLOADED)):
