Make each health check on a connection of its own

A copy of an earlier answer that crossed a health check on a reused connection was taken for its result: an endpoint that answers 503 counted as healthy. Health checks are answered at once, so no time tells their answers from earlier ones. Each now opens its connection, on which nothing else can have caused an answer, and leaves it to later attempts, which hold their answers in doubt as on any reused connection.

tests/test_stray_answers.py TestHealthChecks failed before (OK for a health check answered 503) and passes. The player of exchanges also looks for a call on another connection where it expects silence.

--- a/juniperward/forwarder/health_check_call.py
+++ b/juniperward/forwarder/health_check_call.py
@@ -1,7 +1,7 @@
-"""Makes a health check on the thread of its call: gets a connection, sends the request and reads the answer.
+"""Makes a health check on the thread of its call: opens a connection, sends the request and reads the answer.
 
-`endpoint_client.py` calls `HealthCheckCalls.run`. Like an attempt, a health check uses idle connections, and
-is not sent to a draining endpoint or on a paused route.
+`endpoint_client.py` calls `HealthCheckCalls.run`. The connection is left to later attempts. Like an attempt, a
+health check is not sent to a draining endpoint or on a paused route.
 """
 
 from __future__ import annotations
@@ -34,7 +34,8 @@
     def run(self, call: ActiveCall, check: StartHealthCheck) -> HealthCheckAnswered:
         """Make a health check and return its result."""
         began = time.monotonic()
-        connection = self._connections.connect(call)
+        # On a connection of its own, no answer to an earlier call can be taken for that of the health check.
+        connection = self._connections.dial(call)
         if connection is None:
             return health_check_without_answer(check, Outcome.CONNECT_FAILED, began)
         with self._gate.lock:
@@ -44,19 +45,16 @@
             self._connections.put_back(call, connection)
             return health_check_without_answer(check, Outcome.NOT_SENT, began)
         connection.answer_deadline = check.deadline
-        on_new_connection = connection.window is None
         try:
             connection.send(encode_health_check(check))
             answer = read_response(connection.stream, connection.set_answer_begun)
             connection.answer_deadline = None
         except (IncompleteMessageError, MalformedMessageError, OSError) as error:
             connection.close()
-            return health_check_without_answer(
-                check, _outcome_of_error(check, on_new_connection, error), began
-            )
+            return health_check_without_answer(check, _outcome_of_error(check, error), began)
         increment("health_checks_answered")
         self._connections.release(call, connection, answer)
-        return _answered(check, read_health(answer, on_new_connection), began, answer)
+        return _answered(check, read_health(answer, on_new_connection=True), began, answer)
 
 
 def health_check_without_answer(
@@ -82,12 +80,11 @@
     )
 
 
-def _outcome_of_error(check: StartHealthCheck, on_new_connection: bool, error: Exception) -> Outcome:
+def _outcome_of_error(check: StartHealthCheck, error: Exception) -> Outcome:
     # A timeout error does not mean that the deadline has passed, as the transfer has a shorter time limit.
     if time.monotonic() >= check.deadline:
         return Outcome.TIMEOUT
     endpoint = format_address((check.host, check.port))
     increment("health_checks_incomplete")
     log("health_check", "answer incomplete; connection closed", endpoint=endpoint, error=error)
-    failed_to_send = on_new_connection and isinstance(error, ConnectionError)
-    return Outcome.CONNECT_FAILED if failed_to_send else Outcome.RESET
+    return Outcome.CONNECT_FAILED if isinstance(error, ConnectionError) else Outcome.RESET
--- a/tests/player.py
+++ b/tests/player.py
@@ -130,8 +130,12 @@
     def is_silent(self) -> bool:
         """Return whether nothing has arrived; between two requests the forwarder may have ended the connection."""
         readable = select.select([self.sock], [], [], 0)[0]
-        ended = bool(readable) and self._accept is not None and self.sock.recv(1, socket.MSG_PEEK) == b""
-        return not self.buffer and (not readable or ended)
+        return not self.buffer and (not readable or self.is_ended())
+
+    def is_ended(self) -> bool:
+        """Return whether the forwarder has ended the connection, and may send its next request on another one."""
+        readable = select.select([self.sock], [], [], 0)[0]
+        return bool(readable) and self._accept is not None and self.sock.recv(1, socket.MSG_PEEK) == b""
 
     def take(self, length: int) -> bytes:
         while len(self.buffer) < length:
@@ -244,6 +248,10 @@
             connection.sock.close()
         elif rest == "silent":
             assert connection.is_silent(), "the forwarder sent something"
+            calls = select.select([self.program.endpoint_listener], [], [], 0)[0]
+            assert not calls or not connection.is_ended(), (
+                "the forwarder sent something on another connection"
+            )
         else:
             raise AssertionError("unknown step")
 
