Make each notification request on a connection of its own

A copy of an earlier 204 that crossed the next notification request acknowledged it: the notification was dropped and its message had no outcome. The platform answers at once, so no time tells its answers from earlier ones. Each request now has its connection, on which nothing else can have caused an answer; up to 200 notifications share a request, as before.

--- a/juniperward/forwarder/notification_sender.py
+++ b/juniperward/forwarder/notification_sender.py
@@ -48,10 +48,9 @@
     """Sends queued notifications in batches on its own thread, retrying until each is acknowledged."""
 
     def __init__(self, address: DiscoveryAddress, post: Callable[[Event], None]) -> None:
-        """Send to the platform at an address; the connection is opened for the first notification."""
+        """Send to the platform at an address; each request has a connection of its own."""
         self._address, self._post = address, post
         self._queued: queue.SimpleQueue[QueuedNotification] = queue.SimpleQueue()
-        self._connection: PlatformConnection | None = None
 
     def start_thread(self) -> None:
         """Start the thread that sends queued notifications."""
@@ -69,7 +68,6 @@
             backoff_s = FIRST_BACKOFF_S
             while not self._try_deliver(batch):
                 increment("notifications_retried")
-                self._drop_connection()
                 time.sleep(backoff_s)
                 backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
 
@@ -125,17 +123,9 @@
             batch.remove(notification)
 
     def _request(self, batch: list[OutcomeNotification]) -> int:
-        """Post a batch on an open or a new connection, and return the response's status."""
-        if self._connection is not None and not self._connection.is_reusable():
-            self._drop_connection()
-        if self._connection is None:
-            self._connection = PlatformConnection(self._address)
-        answer = self._connection.post(encode_notifications(batch))
-        if answer.close:
-            self._drop_connection()
-        return answer.status
-
-    def _drop_connection(self) -> None:
-        if self._connection is not None:
-            self._connection.close()
-            self._connection = None
+        """Post a batch and return the response's status."""
+        connection = PlatformConnection(self._address)
+        try:
+            return connection.post(encode_notifications(batch)).status
+        finally:
+            connection.close()
--- a/juniperward/forwarder/platform_connection.py
+++ b/juniperward/forwarder/platform_connection.py
@@ -1,4 +1,4 @@
-"""An HTTP connection to the platform that carries one notification request at a time."""
+"""An HTTP connection to the platform for a single request, so that no answer to an earlier one can arrive on it."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 
 
 class PlatformConnection:
-    """A connection to the platform; for use by a single thread."""
+    """A connection to the platform for one request; for use by a single thread."""
 
     def __init__(self, address: DiscoveryAddress) -> None:
         """Connect to the platform.
@@ -41,13 +41,6 @@
         self._stream = Stream(self._reader.receive)
         self._host = format_address(connected)
 
-    def is_reusable(self) -> bool:
-        """Return whether another request may be sent on this connection.
-
-        Bytes after the last response would be taken for the response to that request.
-        """
-        return not self._stream.buffer and sockets.is_reusable(self._sock)
-
     def post(self, body: bytes) -> HttpResponse:
         """Post a body of encoded notifications and return the response.
 
