--- a/juniperward/benchmarks/memory_soak.py
+++ b/juniperward/benchmarks/memory_soak.py
@@ -144,7 +144,7 @@
         mode = self._random.choice(FAULT_MODES)
         self._destinations[0].inject_fault(mode, RUN_S / 3, FAULT_FRACTION)
         signals = [SignalSeries(forwarder, self._random.getrandbits(32)) for forwarder in self._forwarders]
-        _run_together([lambda each=each: each.run(began_at) for each in signals])  # type: ignore[misc]
+        run_together([lambda each=each: each.run(began_at) for each in signals])  # type: ignore[misc]
         clients.done.wait(RUN_S + 2 * DEADLINE_S)
         time.sleep(DEADLINE_S + SETTLE_S)
         return self._result(signals)
@@ -172,17 +172,18 @@
             outcome_grace_s=DEFAULT_BOUNDS.outcome_grace_s + lag_s,
             crossing_s=DEFAULT_BOUNDS.crossing_s + lag_s,
         )
-        verdict = check(list(_usual_records(self._recorder.records)), bounds)
+        verdict = check(list(usual_records(self._recorder.records)), bounds)
         peaks = [forwarder.peak_bytes / BYTES_PER_MB for forwarder in self._forwarders]
         result = SoakResult(self._seed, self._limits, self._forms, self._connections, verdict, peaks, lag_s)
         for forwarder, sent in zip(self._forwarders, signals, strict=True):
-            result.problems += _problems_of(forwarder, sent)
+            result.problems += problems_of(forwarder, sent)
         for violation in verdict.violations[:MAX_REPORTED_VIOLATIONS]:
             result.problems.append(f"{violation.rule}: {violation.subject}: {violation.text}")
         return result
 
 
-def _problems_of(forwarder: LimitedForwarder, signals: SignalSeries) -> list[str]:
+def problems_of(forwarder: LimitedForwarder, signals: SignalSeries) -> list[str]:
+    """Return the ways in which a forwarder's processes ended that must not happen, and its unexpected errors."""
     problems = [f"{forwarder.name} exited with {code}" for code in signals.unexpected_exits]
     if forwarder.killed_for_memory:
         problems.append(f"{forwarder.name} killed for memory")
@@ -192,14 +193,15 @@
     return problems
 
 
-def _usual_records(records: list[AnyRecord]) -> Iterator[AnyRecord]:
+def usual_records(records: list[AnyRecord]) -> Iterator[AnyRecord]:
     """Yield the records without the attempts of hostile clients' messages, which no record submitted."""
     for record in records:
         if not (isinstance(record, AttemptReceived) and record.ids[0].startswith("hostile-")):
             yield record
 
 
-def _run_together(bodies: list[Callable[[], None]]) -> None:
+def run_together(bodies: list[Callable[[], None]]) -> None:
+    """Run functions on threads, and wait for their ends."""
     threads = [threading.Thread(target=body) for body in bodies]
     for thread in threads:
         thread.start()
--- /dev/null
+++ b/juniperward/benchmarks/stray_soak.py
@@ -0,0 +1,254 @@
+"""Forwarders whose endpoints send stray answers, under signals, kills and crowds of clients, run by seed.
+
+`juniperward measure stray-soak` runs a number of seeds. A run draws the forms of the stray answers, the speed and the
+load of the endpoints, and the signals for one or two forwarders from its seed. One destination takes messages by key,
+the other one messages that may be sent once only. A run passes if no rule of the protocol was broken.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import copy
+import random
+import tempfile
+import time
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass, field, replace
+from multiprocessing import get_context
+from pathlib import Path
+from typing import Any
+
+from juniperward.benchmarks.cluster_files import BASE_CONFIGURATION
+from juniperward.benchmarks.lag_watch import LagWatch
+from juniperward.benchmarks.limited_forwarder import LimitedForwarder, Limits
+from juniperward.benchmarks.memory_soak import problems_of, run_together, usual_records
+from juniperward.benchmarks.report import Report, Row
+from juniperward.benchmarks.signal_series import SignalSeries
+from juniperward.fakes.checker import check
+from juniperward.fakes.clients import ClientOptions, Clients, Traffic
+from juniperward.fakes.discovery import FakeDiscovery
+from juniperward.fakes.hostile_clients import Form, hostile_clients
+from juniperward.fakes.load_balancer import LoadBalancer
+from juniperward.fakes.records import Recorder, now
+from juniperward.fakes.stray_endpoints import StrayDestination, StrayForm, StraySpec
+from juniperward.fakes.verdict import DEFAULT_BOUNDS, Verdict
+
+LIMITS = Limits(192, 1024)
+SLOTS = 24
+MAX_FORWARDERS = 2
+RUN_S = 10.0
+DEADLINE_S = 4.0
+RATE_PER_S = 30.0
+KEYED_CLASS, ONCE_CLASS = "booking-update", "gate-order"
+SERVICE_TIMES_S = ((0.001, 0.004), (0.02, 0.25), (0.02, 0.25), (1.0, 1.5))
+FRACTIONS = (0.02, 0.5, 1.0)
+REJECTED_FRACTIONS = (0.2, 0.2, 0.7)
+CROWD_PROBABILITY = 0.3
+CROWD_CONNECTIONS, CROWD_S = 400, 8.0
+# The load balancer learns this late that a forwarder ends, so that clients keep using their open connections.
+LOAD_BALANCER_POLL_S = 2.0
+SETTLE_S = 1.5
+PARALLEL_RUNS = 2
+MAX_REPORTED_VIOLATIONS = 3
+
+
+@dataclass
+class StrayResult:
+    """What one run has shown.
+
+    Attributes:
+        calls, connections, strays: What the endpoints of each destination have seen and sent.
+        lag_s: By how much this process itself was late at most; the checks allow for it.
+        problems: What must not happen; empty if the run passed.
+    """
+
+    seed: int
+    specs: tuple[StraySpec, ...]
+    forwarders: int
+    crowd: bool
+    verdict: Verdict
+    calls: tuple[int, ...]
+    connections: tuple[int, ...]
+    strays: tuple[int, ...]
+    lag_s: float
+    problems: list[str] = field(default_factory=list)
+
+    def cells(self) -> Row:
+        """Return the table row under COLUMNS."""
+        return [
+            f"{self.seed}",
+            f"{self.forwarders}{' and a crowd' if self.crowd else ''}",
+            *(_cell(spec, *counts) for spec, *counts in self._destinations()),
+            f"{self.verdict.accepted}",
+            f"{self.verdict.delivered}",
+            f"{self.verdict.notified}",
+            f"{self.lag_s:.3f}",
+            "; ".join(self.problems) or "held",
+        ]
+
+    def _destinations(self) -> Any:
+        return zip(self.specs, self.calls, self.connections, self.strays, strict=True)
+
+
+def _cell(spec: StraySpec, calls: int, connections: int, strays: int) -> str:
+    fastest_s, slowest_s = spec.service_s
+    return (
+        f"{spec.form} {spec.fraction:g}, {1000 * fastest_s:g} to {1000 * slowest_s:g} ms, 503 {spec.rejected:g}: "
+        f"{calls}, {connections}, {strays}"
+    )
+
+
+COLUMNS = [
+    "seed",
+    "forwarders",
+    "by key: calls, connections, strays",
+    "once: the same",
+    "accepted",
+    "delivered",
+    "notified",
+    "own lateness s",
+    "verdict",
+]
+
+
+def soak_settings() -> dict[str, Any]:
+    """Return settings with a class by key, a class that may be sent once only, and SLOTS."""
+    settings: dict[str, Any] = copy.deepcopy(BASE_CONFIGURATION["settings"])
+    once = {**settings["Services"][0], "Name": ONCE_CLASS, "Effect": "once"}
+    settings["Services"].append(once)
+    settings["Specifics"]["MaxCalls"] = SLOTS
+    settings["Weights"] = "nominal"
+    return settings
+
+
+class _StrayRun:
+    """The forwarders, endpoints and clients of one seed."""
+
+    def __init__(
+        self, seed: int, folder: Path, resources: contextlib.ExitStack, forms: tuple[StrayForm, ...]
+    ) -> None:
+        self._seed, self._random, self._resources = seed, random.Random(seed), resources
+        self._lag = LagWatch()
+        resources.callback(self._lag.close)
+        self._recorder = Recorder()
+        discovery = FakeDiscovery(self._recorder)
+        resources.callback(discovery.close)
+        self._destinations = [self._destination(number, forms) for number in (1, 2)]
+        for destination in self._destinations:
+            resources.callback(destination.close)
+            discovery.publish(*destination.start())
+        self._crowd = self._random.random() < CROWD_PROBABILITY
+        self._forwarders = []
+        for number in range(self._random.randint(1, MAX_FORWARDERS)):
+            name = f"n{number}"
+            address = discovery.address_for(name)
+            forwarder = LimitedForwarder(
+                folder / name, address, LIMITS, name, self._recorder, settings=soak_settings()
+            )
+            resources.callback(forwarder.close)
+            self._forwarders.append(forwarder)
+
+    def _destination(self, number: int, forms: tuple[StrayForm, ...]) -> StrayDestination:
+        spec = StraySpec(
+            number,
+            self._random.choice(forms),
+            self._random.choice(FRACTIONS),
+            self._random.choice(SERVICE_TIMES_S),
+            self._random.choice(REJECTED_FRACTIONS),
+            deduplicates=number == 1,
+        )
+        return StrayDestination(spec, self._recorder, self._seed * 10 + number)
+
+    def run(self) -> StrayResult:
+        """Run all of it to its end and return the result."""
+        for forwarder in self._forwarders:
+            forwarder.start()
+        addresses = {forwarder.name: forwarder.address for forwarder in self._forwarders}
+        balancer = LoadBalancer(addresses, LOAD_BALANCER_POLL_S)
+        self._resources.callback(setattr, balancer, "closed", True)
+        balancer.start()
+        clients = [
+            self._start_clients(balancer, 1, KEYED_CLASS, 2),
+            # A message of this class that got no answer must not be submitted again by its client.
+            self._start_clients(balancer, 2, ONCE_CLASS, 1),
+        ]
+        began_at = now()
+        if self._crowd:
+            for forwarder in self._forwarders:
+                self._resources.enter_context(
+                    hostile_clients(forwarder.address, Form.SILENT, CROWD_CONNECTIONS, CROWD_S, self._seed)
+                )
+        signals = [SignalSeries(forwarder, self._random.getrandbits(32)) for forwarder in self._forwarders]
+        run_together([lambda each=each: each.run(began_at) for each in signals])  # type: ignore[misc]
+        for each in clients:
+            each.done.wait(RUN_S + 2 * DEADLINE_S)
+        time.sleep(DEADLINE_S + SETTLE_S)
+        return self._result(signals)
+
+    def _start_clients(
+        self, balancer: LoadBalancer, destination: int, message_class: str, submissions: int
+    ) -> Clients:
+        traffic = Traffic(
+            RATE_PER_S * len(self._forwarders),
+            ((destination, 1.0),),
+            message_class=message_class,
+            deadline_s=DEADLINE_S,
+            max_submissions=submissions,
+        )
+        options = ClientOptions(threads=16, id_prefix=f"c{destination}-")
+        clients = Clients(traffic, balancer, self._recorder, self._seed + destination, options)
+        clients.start(RUN_S)
+        return clients
+
+    def _result(self, signals: list[SignalSeries]) -> StrayResult:
+        lag_s = self._lag.longest_s
+        bounds = replace(
+            DEFAULT_BOUNDS,
+            outcome_grace_s=DEFAULT_BOUNDS.outcome_grace_s + lag_s,
+            crossing_s=DEFAULT_BOUNDS.crossing_s + lag_s,
+        )
+        result = StrayResult(
+            self._seed,
+            tuple(destination.spec for destination in self._destinations),
+            len(self._forwarders),
+            self._crowd,
+            check(list(usual_records(self._recorder.records)), bounds),
+            tuple(destination.calls for destination in self._destinations),
+            tuple(destination.connections for destination in self._destinations),
+            tuple(destination.strays for destination in self._destinations),
+            lag_s,
+        )
+        for forwarder, sent in zip(self._forwarders, signals, strict=True):
+            result.problems += problems_of(forwarder, sent)
+        for violation in result.verdict.violations[:MAX_REPORTED_VIOLATIONS]:
+            result.problems.append(f"{violation.rule}: {violation.subject}: {violation.text}")
+        return result
+
+
+def run_seed(seed: int, forms: tuple[StrayForm, ...] = tuple(StrayForm)) -> StrayResult:
+    """Run one seed, whose forms are drawn from `forms`, and return its result."""
+    with (
+        tempfile.TemporaryDirectory(prefix="jw-") as folder,
+        contextlib.ExitStack() as resources,
+    ):
+        return _StrayRun(seed, Path(folder), resources, forms).run()
+
+
+def stray_soak(seed: int, out: Path, rounds: int = 50) -> bool:
+    """Run `rounds` seeds from `seed` on; write stray-soak.md to `out`. Returns whether all of them passed."""
+    command = f"juniperward measure stray-soak --seed {seed} --rounds {rounds}"
+    report = Report("Forwarders beside stray answers", command, seed)
+    report.add_paragraph(
+        f"Each run has one or two forwarders, {RATE_PER_S:g} messages a second for each destination and forwarder, a "
+        "series of signals for each, and in some runs a crowd of silent clients. The endpoints of two destinations "
+        "send stray answers of a form beside a fraction of the calls on reused connections."
+    )
+    with ProcessPoolExecutor(PARALLEL_RUNS, get_context("spawn")) as pool:
+        results = list(pool.map(run_seed, range(seed, seed + rounds)))
+    report.add_table(COLUMNS, [result.cells() for result in results])
+    failed = [result.seed for result in results if result.problems]
+    report.add_paragraph(
+        f"{len(results) - len(failed)} of {len(results)} runs held; failed: {failed or 'none'}."
+    )
+    report.write(out / "stray-soak.md")
+    return not failed
