Let the doubt window follow the time of a crossing, and tolerate few fast answers

The window is now the time of a crossing (a reading time of 15 ms and two times that of connecting), or an eighth of a fast answer if that is longer; connections are reused while it is at most three quarters of a fast answer, the third fastest of 32. The call's own answer is awaited for 1.5 times the slowest.

--- a/juniperward/forwarder/connection_reuse.py
+++ b/juniperward/forwarder/connection_reuse.py
@@ -17,14 +17,21 @@
 from juniperward.forwarder.stray_answers import report_stray_bytes
 
 # An endpoint reads a call that has arrived within this time.
-MAX_READING_S = 0.01
+MAX_READING_S = 0.015
 # A stray answer that crosses a call arrives at most a round trip after the call's last byte; a round trip may take
 # this many times as long as that of connecting.
 ROUND_TRIP_VARIATION = 2.0
 RECENT_ANSWERS = 32
 MIN_ANSWERS = 8
-# The doubt window is this fraction of the time of the fastest recent answer.
-WINDOW_FRACTION = 0.5
+# Of the recent answers, this number may be faster than those for which connections are reused, such as the answers to
+# repeats, which endpoints answer at once.
+FAST_ANSWERS_ALLOWED = 2
+# Connections are reused while the doubt window is at most this fraction of the time of a fast answer.
+MAX_WINDOW_FRACTION = 0.75
+# Where answers are slow, the doubt window is this fraction of the time of a fast one.
+WINDOW_FRACTION = 0.125
+# Behind an answer in doubt, the call's own one is awaited for this many times the time of the slowest recent answer.
+PATIENCE_FACTOR = 1.5
 # Connections to a destination are not reused for this time after one of its endpoints sent a stray answer.
 STRAY_PAUSE_S = 300.0
 
@@ -45,16 +52,19 @@
 
 @dataclass(slots=True)
 class _AnswerTimes:
-    """What is known of a destination; `window` is None until MIN_ANSWERS are known."""
+    """The times of a destination's recent answers; `fast_s` is 0 until MIN_ANSWERS are known."""
 
     recent_s: deque[float] = field(default_factory=lambda: deque(maxlen=RECENT_ANSWERS))
-    window: DoubtWindow | None = None
+    fast_s: float = 0.0
+    slowest_s: float = 0.0
     paused_until: float = 0.0
 
     def add(self, seconds: float) -> None:
         self.recent_s.append(seconds)
         if len(self.recent_s) >= MIN_ANSWERS:
-            self.window = DoubtWindow(WINDOW_FRACTION * min(self.recent_s), max(self.recent_s))
+            by_time = sorted(self.recent_s)
+            self.fast_s = by_time[FAST_ANSWERS_ALLOWED if len(by_time) == RECENT_ANSWERS else 0]
+            self.slowest_s = by_time[-1]
 
 
 class ConnectionReuse:
@@ -83,7 +93,9 @@
         `round_trip_s` is the time that it took to connect.
         """
         times = self._destinations.get(destination)
-        if times is None or times.window is None or time.monotonic() < times.paused_until:
-            return None
         crossing_s = MAX_READING_S + ROUND_TRIP_VARIATION * round_trip_s
-        return times.window if times.window.length_s >= crossing_s else None
+        if times is None or MAX_WINDOW_FRACTION * times.fast_s < crossing_s:
+            return None
+        if time.monotonic() < times.paused_until:
+            return None
+        return DoubtWindow(max(crossing_s, WINDOW_FRACTION * times.fast_s), PATIENCE_FACTOR * times.slowest_s)
