Give repeats of messages that possibly executed a connection of their own

Such an attempt now opens a connection, and its time does not count among the destination's answers.

--- a/juniperward/forwarder/effects.py
+++ b/juniperward/forwarder/effects.py
@@ -48,6 +48,7 @@
     Attributes:
         endpoint_id: Discovery's id of the endpoint, which is journalled.
         route: The scope of a Retry-After in the response; None means the destination.
+        is_repeat: Whether one of the messages possibly executed before; endpoints answer such an attempt at once.
     """
 
     number: int
@@ -59,6 +60,7 @@
     deadline: float
     endpoint_id: str = ""
     route: RouteKey | None = None
+    is_repeat: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/juniperward/forwarder/endpoint_connections.py
+++ b/juniperward/forwarder/endpoint_connections.py
@@ -13,6 +13,7 @@
 from juniperward.forwarder.answer_headers import read_retry_after
 from juniperward.forwarder.connection_pool import ConnectionPool
 from juniperward.forwarder.connection_reuse import ConnectionReuse
+from juniperward.forwarder.effects import StartAttempt
 from juniperward.forwarder.endpoint_connection import (
     DEFAULT_ANSWER_LIMITS,
     AnswerLimits,
@@ -55,6 +56,8 @@
     def _take_idle(self, call: ActiveCall) -> EndpointConnection | None:
         """Return an idle connection on which the answer to the call can be told from earlier ones."""
         effect = call.effect
+        if isinstance(effect, StartAttempt) and effect.is_repeat:
+            return None  # Its answer would come within the doubt window.
         if self._reuse.window(effect.destination) is None:
             self._pool.close_idle(effect.endpoint)
             return None
@@ -149,8 +152,9 @@
         return True
 
     def add_answer_time(self, call: ActiveCall, connection: EndpointConnection) -> None:
-        """Add the time that an endpoint took to answer; call it for attempts, as other requests take less."""
-        self._reuse.add_answer(call.effect.destination, connection.begun_at - connection.written_at)
+        """Add the time that an endpoint took to answer an attempt, unless it is a repeat."""
+        if isinstance(call.effect, StartAttempt) and not call.effect.is_repeat:
+            self._reuse.add_answer(call.effect.destination, connection.begun_at - connection.written_at)
 
     def pause_route(self, call: ActiveCall, answer: HttpResponse) -> None:
         """Pause the route of a call for the Retry-After of an answer, which may be in doubt."""
--- a/juniperward/forwarder/reducer/attempts.py
+++ b/juniperward/forwarder/reducer/attempts.py
@@ -94,9 +94,13 @@
                 now + max(message.timeout_s for message in scheduled),
                 endpoint.id,
                 route_of(endpoint, self._round.settings),
+                any(self._possibly_executed(message.message) for message in scheduled),
             )
         )
 
+    def _possibly_executed(self, message: int) -> bool:
+        return self._round.state.messages.pending[message].executed_at is not None
+
     def _add_message(
         self, attempt: AttemptInFlight, endpoint: Endpoint, scheduled: ScheduledAttempt
     ) -> BatchItem:
--- a/tests/test_stray_answers.py
+++ b/tests/test_stray_answers.py
@@ -297,6 +297,14 @@
         assert self.client.reuse.window(7) is None
         self.first_call()
 
+    def test_a_repeat_has_a_connection_of_its_own(self) -> None:
+        # Guards against repeats in doubt, which endpoints answer at once, and messages given up although delivered.
+        self.client.start(replace(attempt(2, ("127.0.0.1", self.port)), is_repeat=True))
+        sock = self.accept()
+        sock.recv(1000)
+        sock.sendall(DELIVERED)
+        assert self.outcome().outcome is Outcome.OK
+
     def test_connections_are_reused_only_while_answers_are_slow(self) -> None:
         # Guards against reuse where a stray answer cannot be told from the call's own.
         reuse = ConnectionReuse()
