Stop the reuse of connections also after noise in place of an answer

What is not HTTP has no call as its cause, so it now counts as a stray answer. A dial sets the timeout of writes once, and looks at the pool's lock only if connections are idle.

--- a/juniperward/forwarder/attempt_call.py
+++ b/juniperward/forwarder/attempt_call.py
@@ -149,6 +149,8 @@
         except AnswerInDoubtError as error:
             connection.close()
             self._connections.add_answer_time(call, connection)
+            if isinstance(error.__cause__, MalformedMessageError):
+                self._connections.report_stray_bytes(call, connection, "in place of an answer")
             return _outcomes_in_doubt(call, attempt, error)
         except (IncompleteMessageError, MalformedMessageError, OSError) as error:
             connection.close()
--- a/juniperward/forwarder/endpoint_connections.py
+++ b/juniperward/forwarder/endpoint_connections.py
@@ -59,7 +59,8 @@
         if isinstance(effect, StartAttempt) and effect.is_repeat:
             return None  # Its answer would come within the doubt window.
         if self._reuse.window(effect.destination) is None:
-            self._pool.close_idle(effect.endpoint)
+            if effect.endpoint in self._pool.idle:
+                self._pool.close_idle(effect.endpoint)
             return None
         connection = self._pool.take(effect.endpoint, effect.destination, (effect.host, effect.port))
         if connection is None:
@@ -90,7 +91,8 @@
                 # Taken before the wait for a slot, which is no part of the round trip.
                 round_trip_s = time.monotonic() - connecting_since
             # Replace the timeout of this dial, which would also limit later writes on the connection.
-            sockets.set_timeout(sock, socket.SO_SNDTIMEO, self.dial_timeout_s)
+            if remaining_s < self.dial_timeout_s:
+                sockets.set_timeout(sock, socket.SO_SNDTIMEO, self.dial_timeout_s)
         except OSError as error:
             sock.close()
             increment("dials_failed")
@@ -132,14 +134,14 @@
                 # A cancellation is too late from now on: the outcome counts.
                 call.progress = AttemptProgress.FINISHED
         connection.end_answer()
-        stray = self._report_stray_bytes(call, connection)
+        stray = self._has_stray_bytes(call, connection)
         if answer.close or call.cancelled or stray or not intact:
             connection.close()
         else:
             self._put_back_or_close(call, connection)
         self.pause_route(call, answer)
 
-    def _report_stray_bytes(self, call: ActiveCall, connection: EndpointConnection) -> bool:
+    def _has_stray_bytes(self, call: ActiveCall, connection: EndpointConnection) -> bool:
         """Return whether more was received than the answer to an answered call, and report it."""
         if connection.is_in_doubt:
             when = "ahead of an answer"
@@ -148,9 +150,13 @@
             increment("answers_with_excess")
         else:
             return False
-        self._reuse.report_stray_bytes(call.effect.destination, when, connection.address)
+        self.report_stray_bytes(call, connection, when)
         return True
 
+    def report_stray_bytes(self, call: ActiveCall, connection: EndpointConnection, when: str) -> None:
+        """Stop the reuse of connections to the destination of a call, whose endpoint sent what no call caused."""
+        self._reuse.report_stray_bytes(call.effect.destination, when, connection.address)
+
     def add_answer_time(self, call: ActiveCall, connection: EndpointConnection) -> None:
         """Add the time that an endpoint took to answer an attempt, unless it is a repeat."""
         if isinstance(call.effect, StartAttempt) and not call.effect.is_repeat:
--- a/tests/test_stray_answers.py
+++ b/tests/test_stray_answers.py
@@ -290,6 +290,13 @@
 
 
 class TestReuse(ScriptedCalls):
+    def test_connections_are_not_reused_after_noise_in_place_of_an_answer(self) -> None:
+        # Guards against one call after another that possibly executed, at a destination that sends noise.
+        self.second_call()
+        self.sock.sendall(b"\x00noise\r\n\r\n")
+        assert self.outcome().outcome is Outcome.RESET
+        assert self.client.reuse.window(7) is None
+
     def test_connections_are_not_reused_after_bytes_between_calls(self) -> None:
         # Guards against further calls in doubt at a destination that is known to send stray answers.
         self.sock.sendall(DELIVERED)
