--- a/juniperward/forwarder/connection_reuse.py
+++ b/juniperward/forwarder/connection_reuse.py
@@ -23,8 +23,7 @@
 ROUND_TRIP_VARIATION = 2.0
 RECENT_ANSWERS = 32
 MIN_ANSWERS = 8
-# Of the recent answers, this number may be faster than those for which connections are reused, such as the answers to
-# repeats, which endpoints answer at once.
+# Connections are reused although this number of the recent answers was fast, such as rejections.
 FAST_ANSWERS_ALLOWED = 2
 # Connections are reused while the doubt window is at most this fraction of the time of a fast answer.
 MAX_WINDOW_FRACTION = 0.5
