Read interim responses one by one while an answer is in doubt

Within the doubt window each head is now taken by itself, so that the own answer behind it counts, and the interim response stops the reuse of the destination's connections.

--- a/juniperward/forwarder/own_answer.py
+++ b/juniperward/forwarder/own_answer.py
@@ -8,7 +8,7 @@
 from juniperward.forwarder.endpoint_connection import EndpointConnection
 from juniperward.forwarder.telemetry import increment
 from juniperward.net.http_errors import IncompleteMessageError, MalformedMessageError
-from juniperward.net.http_responses import read_response
+from juniperward.net.http_responses import read_next_response, read_response
 from juniperward.net.http_values import HttpResponse
 
 MAX_DOUBTFUL_ANSWERS = 16
@@ -57,11 +57,11 @@
 
 
 def _doubtful_answers(connection: EndpointConnection, window: DoubtWindow) -> Iterator[HttpResponse]:
-    """Yield the answers before the first moment, at or after the end of the window, when nothing is received."""
+    """Yield the answers, also interim ones, before nothing is received at the end of the window or later."""
     window_end = connection.written_at + window.length_s
     while not connection.is_silent_until(window_end):
         if not connection.is_in_doubt:
             connection.is_in_doubt = True
             connection.limit_answer(connection.written_at + window.patience_s)
             increment("answers_in_doubt")
-        yield read_response(connection.stream, connection.set_answer_begun)
+        yield read_next_response(connection.stream, connection.set_answer_begun)
--- a/juniperward/net/http_responses.py
+++ b/juniperward/net/http_responses.py
@@ -51,10 +51,7 @@
     remaining_bytes = MAX_HEAD_BYTES
     for _ in range(MAX_INTERIM_RESPONSES + 1):
         try:
-            set_begun(False)
-            if not stream.buffer:
-                stream.read_more()
-            set_begun(True)
+            _wait_for_response(stream, set_begun)
             version, status = _read_status_line(stream)
             headers = read_headers(stream, remaining_bytes)
         except (IncompleteMessageError, MalformedMessageError) as error:
@@ -69,6 +66,26 @@
     raise IncompleteMessageError.after(status, problem)
 
 
+def read_next_response(stream: Stream, set_begun: Callable[[bool], None] = _ignore_begun) -> HttpResponse:
+    """Return the next response, which may be an interim one; `set_begun` and the errors are those of `read_head`."""
+    _wait_for_response(stream, set_begun)
+    version, status = _read_status_line(stream)
+    try:
+        headers = read_headers(stream, MAX_HEAD_BYTES)
+        body = b"" if status < FIRST_FINAL_STATUS else _read_body(stream, status, headers, MAX_BODY_BYTES)
+    except (IncompleteMessageError, MalformedMessageError) as error:
+        raise IncompleteMessageError.after(status, error) from error
+    return HttpResponse(status, headers, body, ends_connection(version, headers))
+
+
+def _wait_for_response(stream: Stream, set_begun: Callable[[bool], None]) -> None:
+    """Wait for the first bytes of a response."""
+    set_begun(False)
+    if not stream.buffer:
+        stream.read_more()
+    set_begun(True)
+
+
 def _read_status_line(stream: Stream) -> tuple[bytes, int]:
     parts = stream.read_line(MAX_HEAD_BYTES, HttpStatus.BAD_REQUEST).split(b" ", 2)
     if len(parts) < 2 or parts[0] not in SUPPORTED_VERSIONS or not STATUS_CODE.fullmatch(parts[1]):
