Log the status and the message of answers that are incomplete or in doubt

The logs could not tell an answer 410 that was dropped as in doubt from one whose rest was lost, nor name its message.

--- a/juniperward/forwarder/attempt_call.py
+++ b/juniperward/forwarder/attempt_call.py
@@ -198,7 +198,16 @@
     if not call.cancelled:
         endpoint = format_address((attempt.host, attempt.port))
         increment("answers_incomplete")
-        log("endpoint", "answer incomplete; connection closed", endpoint=endpoint, error=error)
+        status = getattr(error, "status", None) or "none"
+        log(
+            "endpoint",
+            "answer incomplete; connection closed",
+            endpoint=endpoint,
+            message=attempt.items[0].content.id,
+            messages=len(attempt.items),
+            status=status,
+            error=error,
+        )
     # The status 200 means that a single message was delivered, even if the rest of the answer is lost.
     is_single = len(attempt.items) == 1
     delivered = is_single and getattr(error, "status", None) == HttpStatus.OK
@@ -212,7 +221,15 @@
     if not call.cancelled:
         endpoint = format_address((attempt.host, attempt.port))
         increment("answers_not_attributed")
-        log("endpoint", "answer in doubt; treated as a reset", endpoint=endpoint, answers=len(error.answers))
+        log(
+            "endpoint",
+            "answer in doubt; treated as a reset",
+            endpoint=endpoint,
+            message=attempt.items[0].content.id,
+            messages=len(attempt.items),
+            answers=len(error.answers),
+            statuses=",".join(str(answer.status) for answer in error.answers),
+        )
     retry_after_s = max((read_retry_after(answer.headers) for answer in error.answers), default=0.0)
     return tuple(
         replace(outcome, retry_after_s=retry_after_s) for outcome in same_outcomes(attempt, Outcome.RESET)
