Give each call to an endpoint a connection of its own, read to its end

What callers saw: a message that its endpoint had answered 410 was called again. An answer within the doubt window of a reused connection was dropped as in doubt and treated as a reset, and a reset is called again. Dropping what a peer has said is careful for one rule (duplicates) and careless for others (ended messages, waits).

Each call now has a connection, so that all of its bytes are the answer to that call, fast or slow; pool, doubt window, patience and pause are deleted. What arrives before the last byte of a request is no answer: the call is not sent. For the same reason a cancelled or timed-out call of which something was written no longer ends at once: its connection is shut down, its thread reads what has arrived and reports it, also at the end of the process.

A health check's connection is not used again, so its deadline can't limit another call.

--- a/juniperward/forwarder/answer_headers.py
+++ b/juniperward/forwarder/answer_headers.py
@@ -9,6 +9,7 @@
 from juniperward.forwarder.limited_json import read_json
 from juniperward.forwarder.telemetry import increment
 from juniperward.net.http_values import DECIMAL
+from juniperward.net.partial_response import PartialResponse
 
 MAX_RETRY_AFTER_S = 3600.0  # A longer Retry-After is ignored.
 MAX_LOAD_REPORT_BYTES = 1024
@@ -38,6 +39,13 @@
     return wait_s if wait_s <= MAX_RETRY_AFTER_S else 0.0
 
 
+def read_partial_retry_after(answer: PartialResponse) -> float:
+    """Return the longest Retry-After of an incomplete answer, of whose value only a part may be known; 0 if none."""
+    return max(
+        (read_retry_after({"retry-after": text}) for text in answer.header_values("retry-after")), default=0.0
+    )
+
+
 def read_load_report(headers: Mapping[str, str]) -> LoadReport:
     """Return the load report of an answer; an empty one where it is absent or invalid."""
     text = headers.get("x-backend-load", "").encode("latin-1")
--- a/juniperward/forwarder/answers.py
+++ b/juniperward/forwarder/answers.py
@@ -1,6 +1,10 @@
 """The codec of endpoints' answers: decodes the outcome of each message of an attempt, or of a health check.
 
 This module reads the status and the body of a response, and `answer_headers.py` reads its headers.
+
+An answer may break off anywhere. What it says up to there binds the forwarder: a message that is delivered, ended or
+out of attempts is not attempted again, and a Retry-After is heeded. What would allow a further attempt, namely that a
+message did not execute, counts only if the answer is complete.
 """
 
 from __future__ import annotations
@@ -8,22 +12,34 @@
 from dataclasses import dataclass
 
 from juniperward.forwarder.address import format_address
-from juniperward.forwarder.answer_headers import LoadReport, read_load_report, read_retry_after
+from juniperward.forwarder.answer_headers import (
+    EMPTY_LOAD_REPORT,
+    LoadReport,
+    read_load_report,
+    read_retry_after,
+)
 from juniperward.forwarder.effects import StartAttempt
 from juniperward.forwarder.limited_json import read_json
 from juniperward.forwarder.model import ItemOutcome
 from juniperward.forwarder.telemetry import increment, log
 from juniperward.net.http_status import HttpStatus
 from juniperward.net.http_values import HttpResponse
+from juniperward.net.partial_response import PartialResponse
 from juniperward.scheduler.events import Outcome
 
 
 @dataclass(frozen=True, slots=True)
 class ItemState:
-    """The state of one message in the answer to a batch; if `message_ended`, it must not be attempted again."""
+    """The state of one message in the answer to a batch.
+
+    Attributes:
+        message_ended: Whether the message is over, and nothing is owed for it.
+        attempts_exhausted: Whether the message must not be attempted again, and its client must be notified.
+    """
 
     outcome: Outcome
     message_ended: bool = False
+    attempts_exhausted: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,6 +50,7 @@
     no_slot_free: bool = False
     message_ended: bool = False
     connection_table_full: bool = False
+    attempts_exhausted: bool = False
 
 
 # An error leaves open whether the message was executed.
@@ -54,12 +71,12 @@
     return tuple(ItemOutcome(item.message, outcome, written=written) for item in attempt.items)
 
 
-def read_health(answer: HttpResponse, on_new_connection: bool = False) -> Outcome:
+def read_health(answer: HttpResponse) -> Outcome:
     """Return the outcome of a health check."""
     match answer.status:
         case HttpStatus.OK:
             return Outcome.OK
-        case HttpStatus.SERVICE_UNAVAILABLE if on_new_connection and _is_connection_table_full(answer):
+        case HttpStatus.SERVICE_UNAVAILABLE if _is_connection_table_full(answer):
             increment("connection_tables_full")
             return Outcome.CONNECT_FAILED
         case HttpStatus.SERVICE_UNAVAILABLE | HttpStatus.TOO_MANY_REQUESTS:
@@ -70,15 +87,13 @@
             return Outcome.ERROR
 
 
-def read_outcomes(
-    attempt: StartAttempt, answer: HttpResponse, on_new_connection: bool = False
-) -> tuple[ItemOutcome, ...]:
-    """Return the outcome of each message of an attempt."""
+def read_outcomes(attempt: StartAttempt, answer: HttpResponse) -> tuple[ItemOutcome, ...]:
+    """Return the outcome of each message of an attempt with a complete answer."""
     retry_after_s = read_retry_after(answer.headers)
     load_report = read_load_report(answer.headers)
     if answer.status == HttpStatus.OK and len(attempt.items) > 1:
         return _read_batch(attempt, answer, retry_after_s, load_report)
-    meaning = _read_status(attempt, answer, on_new_connection and _is_connection_table_full(answer))
+    meaning = _read_status(attempt, answer)
     return tuple(
         ItemOutcome(
             item.message,
@@ -89,20 +104,53 @@
             load_report.capacity_left,
             load_report.limit_per_s,
             meaning.connection_table_full,
+            attempts_exhausted=meaning.attempts_exhausted,
         )
         for item in attempt.items
     )
 
 
-def is_answer_to(attempt: StartAttempt, answer: HttpResponse) -> bool:
-    """Return whether an answer can belong to an attempt: one to a batch with status 200 lists just its messages."""
-    if answer.status != HttpStatus.OK or len(attempt.items) == 1:
-        return True
-    return _read_states(attempt, answer).keys() == {item.content.id for item in attempt.items}
+def read_partial_outcomes(
+    attempt: StartAttempt, answer: PartialResponse, without_answer: Outcome, retry_after_s: float = 0.0
+) -> tuple[ItemOutcome, ...]:
+    """Return the outcome of each message of an attempt whose answer is not complete.
+
+    A message of which the answer says nothing that binds gets `without_answer`.
+    """
+    states = _read_partial_states(attempt, answer)
+    unknown = ItemState(without_answer)
+    return tuple(
+        _item_outcome(item.message, states.get(item.content.id, unknown), retry_after_s)
+        for item in attempt.items
+    )
+
+
+def _read_partial_states(attempt: StartAttempt, answer: PartialResponse) -> dict[str, ItemState]:
+    """Return the states that an incomplete answer gives to messages and that allow no further attempt, by id.
+
+    Status 200 delivers a single message with its first line, and a batch only with the complete answer.
+    """
+    if len(attempt.items) > 1 or answer.status != HttpStatus.OK or not answer.has_status_line:
+        return {}
+    return {item.content.id: ITEM_STATES["ok"] for item in attempt.items}
+
+
+def _item_outcome(
+    message: int, state: ItemState, retry_after_s: float, load_report: LoadReport = EMPTY_LOAD_REPORT
+) -> ItemOutcome:
+    return ItemOutcome(
+        message,
+        state.outcome,
+        retry_after_s,
+        message_ended=state.message_ended,
+        capacity_left=load_report.capacity_left,
+        reported_limit_per_s=load_report.limit_per_s,
+        attempts_exhausted=state.attempts_exhausted,
+    )
 
 
 def _is_connection_table_full(answer: HttpResponse) -> bool:
-    """Return whether a 503 on a new connection means that the endpoint's connection table is full.
+    """Return whether a 503 means that the endpoint's connection table is full.
 
     The endpoint then closes the connection and sends no Retry-After. If only its rate limit is exceeded, it keeps the
     connection open.
@@ -110,7 +158,7 @@
     return answer.close and read_retry_after(answer.headers) <= 0
 
 
-def _read_status(attempt: StartAttempt, answer: HttpResponse, connection_table_full: bool) -> StatusMeaning:
+def _read_status(attempt: StartAttempt, answer: HttpResponse) -> StatusMeaning:
     """Return the meaning of a status, counting and logging an unexpected one."""
     meaning = StatusMeaning(Outcome.ERROR)
     match answer.status:
@@ -118,7 +166,7 @@
             meaning = StatusMeaning(Outcome.OK)
         case HttpStatus.SERVICE_UNAVAILABLE if answer.headers.get("x-over-slots") == "1":
             meaning = StatusMeaning(Outcome.NOT_SENT, no_slot_free=True)
-        case HttpStatus.SERVICE_UNAVAILABLE if connection_table_full:
+        case HttpStatus.SERVICE_UNAVAILABLE if _is_connection_table_full(answer):
             increment("connection_tables_full")
             meaning = StatusMeaning(Outcome.CONNECT_FAILED, connection_table_full=True)
         case HttpStatus.TOO_MANY_REQUESTS | HttpStatus.SERVICE_UNAVAILABLE:
@@ -149,24 +197,17 @@
 ) -> tuple[ItemOutcome, ...]:
     """Return the outcomes of a batch; a message without a known state gets an error, as it possibly executed."""
     states = _read_states(attempt, answer)
-    outcomes = []
-    for item in attempt.items:
-        state = states.get(item.content.id, UNKNOWN_STATE)
-        outcomes.append(
-            ItemOutcome(
-                item.message,
-                state.outcome,
-                retry_after_s,
-                message_ended=state.message_ended,
-                capacity_left=load_report.capacity_left,
-                reported_limit_per_s=load_report.limit_per_s,
-            )
-        )
-    return tuple(outcomes)
+    return tuple(
+        _item_outcome(item.message, states.get(item.content.id, UNKNOWN_STATE), retry_after_s, load_report)
+        for item in attempt.items
+    )
 
 
 def _read_states(attempt: StartAttempt, answer: HttpResponse) -> dict[str, ItemState]:
-    """Return the states by message id; an unreadable body is counted and logged, and gives none."""
+    """Return the states by message id.
+
+    An unreadable body is counted and logged, and gives none.
+    """
     try:
         rows = read_json(answer.body, 1 + len(attempt.items))
         if isinstance(rows, list):
--- a/juniperward/forwarder/assembly.py
+++ b/juniperward/forwarder/assembly.py
@@ -76,9 +76,7 @@
     )
     client_limits = EndpointClientLimits(
         settings.dial_timeout_s,
-        settings.keepalive_s,
         connection_limits.calls,
-        connection_limits.idle_endpoint_connections,
         read_timeout_s=max(message_class.deadline_s for message_class in settings.classes),
         max_large_answers=memory.large_answers,
     )
--- a/juniperward/forwarder/attempt_call.py
+++ b/juniperward/forwarder/attempt_call.py
@@ -13,20 +13,20 @@
 
 from juniperward.forwarder.active_call import ActiveCall
 from juniperward.forwarder.address import format_address
-from juniperward.forwarder.answer_headers import read_retry_after
-from juniperward.forwarder.answers import is_answer_to, read_outcomes, same_outcomes
+from juniperward.forwarder.answers import read_outcomes, read_partial_outcomes, same_outcomes
 from juniperward.forwarder.effects import StartAttempt
-from juniperward.forwarder.endpoint_connection import EndpointConnection
+from juniperward.forwarder.endpoint_connection import EarlyBytesError, EndpointConnection
 from juniperward.forwarder.endpoint_connections import EndpointConnections
 from juniperward.forwarder.endpoint_requests import encode_attempt
 from juniperward.forwarder.model import AttemptProgress, BatchItem, ItemOutcome
-from juniperward.forwarder.own_answer import AnswerInDoubtError, read_own_answer
 from juniperward.forwarder.records import AttemptStartedRecord, JournalRecord
 from juniperward.forwarder.send_gate import SendGate
+from juniperward.forwarder.stray_answers import report_stray_bytes
 from juniperward.forwarder.telemetry import increment, log
 from juniperward.forwarder.trace import Trace
 from juniperward.net.http_errors import IncompleteMessageError, MalformedMessageError
-from juniperward.net.http_status import HttpStatus
+from juniperward.net.http_responses import read_response
+from juniperward.net.partial_response import NOTHING_KNOWN
 from juniperward.scheduler.events import Outcome
 
 
@@ -54,17 +54,15 @@
 
     def run(self, call: ActiveCall, attempt: StartAttempt) -> tuple[ItemOutcome, ...]:
         """Make an attempt and return the outcome of each of its messages."""
-        connection = self._connections.connect(call)
+        connection = self._connections.dial(call)
         if connection is None:
             return same_outcomes(attempt, Outcome.CONNECT_FAILED, written=False)
-        if connection.window is not None:
-            increment("connections_reused")
         journalled = self._journal_starts(attempt, self._sendable(call, attempt, attempt.items))
         request = self._begin_writing(call, _with_items(attempt, journalled))
         if request is None:
             # The call was cancelled, the gate closed or the messages ended during a wait, or the journal failed.
             increment("attempts_withheld")
-            self._connections.put_back(call, connection)
+            connection.close()
             exchanged: tuple[ItemOutcome, ...] = ()
         else:
             withdrawn = len(attempt.items) - len(request.attempt.items)
@@ -133,40 +131,56 @@
     def _exchange(
         self, call: ActiveCall, request: PreparedRequest, connection: EndpointConnection
     ) -> tuple[ItemOutcome, ...]:
-        """Send the request and read its answer; the connection is put back or closed."""
+        """Send the request and read its answer; the connection is closed then."""
         attempt = request.attempt
         try:
             connection.send(request.data)
-        except OSError:
-            connection.close()
-            return same_outcomes(attempt, Outcome.CONNECT_FAILED)
+        except OSError as error:
+            return self._outcomes_of_failed_write(call, attempt, connection, error)
         with self._gate.lock:
             call.progress = AttemptProgress.WRITTEN
         try:
-            answer = read_own_answer(
-                connection, lambda doubtful: self._connections.pause_route(call, doubtful)
-            )
-        except AnswerInDoubtError as error:
-            connection.close()
-            self._connections.add_answer_time(call, connection)
-            if isinstance(error.__cause__, MalformedMessageError):
-                self._connections.report_stray_bytes(call, connection, "in place of an answer")
-            return _outcomes_in_doubt(call, attempt, error)
+            answer = read_response(connection.stream, connection.set_answer_begun)
         except (IncompleteMessageError, MalformedMessageError, OSError) as error:
-            connection.close()
-            return _outcomes_without_answer(call, attempt, error)
-        self._connections.add_answer_time(call, connection)
-        on_new_connection = connection.window is None
-        is_expected = is_answer_to(attempt, answer)
-        if not is_expected and not on_new_connection:
-            connection.close()
-            return _outcomes_in_doubt(call, attempt, AnswerInDoubtError([answer]))
+            return self._outcomes_of_incomplete_answer(call, attempt, connection, error)
         if self.trace is not None:
-            self.trace.write_answer(
-                attempt.number, on_new_connection, answer.status, answer.close, f"{dict(answer.headers)}"
+            self.trace.write_answer(attempt.number, answer.status, answer.close, f"{dict(answer.headers)}")
+        self._connections.release(call, connection, answer)
+        return read_outcomes(attempt, answer)
+
+    def _outcomes_of_failed_write(
+        self, call: ActiveCall, attempt: StartAttempt, connection: EndpointConnection, error: OSError
+    ) -> tuple[ItemOutcome, ...]:
+        """Return the outcomes of a call whose last byte was not written, which never executes.
+
+        What was received refers to the call only if some of it had been written; a Retry-After always counts.
+        """
+        connection.receive_available()
+        if connection.received:
+            report_stray_bytes("before the end of a call", connection.address)
+        answer, retry_after_s = self._connections.release_incomplete(call, connection)
+        without_answer = Outcome.CANCELLED if call.cancelled else Outcome.CONNECT_FAILED
+        if isinstance(error, EarlyBytesError) and not error.request_begun:
+            answer = NOTHING_KNOWN
+        return read_partial_outcomes(attempt, answer, without_answer, retry_after_s)
+
+    def _outcomes_of_incomplete_answer(
+        self, call: ActiveCall, attempt: StartAttempt, connection: EndpointConnection, error: Exception
+    ) -> tuple[ItemOutcome, ...]:
+        answer, retry_after_s = self._connections.release_incomplete(call, connection)
+        if not call.cancelled:
+            increment("answers_incomplete")
+            log(
+                "endpoint",
+                "answer incomplete; connection closed",
+                endpoint=format_address(connection.address),
+                message=attempt.items[0].content.id,
+                messages=len(attempt.items),
+                status=answer.status or "none",
+                error=error,
             )
-        self._connections.release(call, connection, answer, intact=is_expected)
-        return read_outcomes(attempt, answer, on_new_connection)
+        without_answer = Outcome.CANCELLED if call.cancelled else Outcome.RESET
+        return read_partial_outcomes(attempt, answer, without_answer, retry_after_s)
 
 
 def _with_items(attempt: StartAttempt, items: tuple[BatchItem, ...]) -> StartAttempt:
@@ -190,47 +204,3 @@
     }
     outcomes.update((outcome.message, outcome) for outcome in exchanged)
     return tuple(outcomes.values())
-
-
-def _outcomes_without_answer(
-    call: ActiveCall, attempt: StartAttempt, error: Exception
-) -> tuple[ItemOutcome, ...]:
-    if not call.cancelled:
-        endpoint = format_address((attempt.host, attempt.port))
-        increment("answers_incomplete")
-        status = getattr(error, "status", None) or "none"
-        log(
-            "endpoint",
-            "answer incomplete; connection closed",
-            endpoint=endpoint,
-            message=attempt.items[0].content.id,
-            messages=len(attempt.items),
-            status=status,
-            error=error,
-        )
-    # The status 200 means that a single message was delivered, even if the rest of the answer is lost.
-    is_single = len(attempt.items) == 1
-    delivered = is_single and getattr(error, "status", None) == HttpStatus.OK
-    return same_outcomes(attempt, Outcome.OK if delivered else Outcome.RESET)
-
-
-def _outcomes_in_doubt(
-    call: ActiveCall, attempt: StartAttempt, error: AnswerInDoubtError
-) -> tuple[ItemOutcome, ...]:
-    """Return outcomes that leave open whether the messages executed, with the longest Retry-After in doubt."""
-    if not call.cancelled:
-        endpoint = format_address((attempt.host, attempt.port))
-        increment("answers_not_attributed")
-        log(
-            "endpoint",
-            "answer in doubt; treated as a reset",
-            endpoint=endpoint,
-            message=attempt.items[0].content.id,
-            messages=len(attempt.items),
-            answers=len(error.answers),
-            statuses=",".join(str(answer.status) for answer in error.answers),
-        )
-    retry_after_s = max((read_retry_after(answer.headers) for answer in error.answers), default=0.0)
-    return tuple(
-        replace(outcome, retry_after_s=retry_after_s) for outcome in same_outcomes(attempt, Outcome.RESET)
-    )
--- a/juniperward/forwarder/effect_executor.py
+++ b/juniperward/forwarder/effect_executor.py
@@ -13,7 +13,6 @@
     AppendRecord,
     BeginShutdown,
     CancelAttempt,
-    CloseIdleConnections,
     DrainClients,
     Effect,
     ForgetEndpoint,
@@ -112,8 +111,6 @@
         match effect:
             case StartAttempt() | StartHealthCheck():
                 self.endpoint_client.start(effect)
-            case CloseIdleConnections(endpoint=endpoint):
-                self.endpoint_client.close_idle(endpoint)
             case SetEndpointDraining(endpoint=endpoint, draining=draining):
                 self.endpoint_client.set_draining(endpoint, draining)
             case PauseRoute(route=route, until=until):
--- a/juniperward/forwarder/effects.py
+++ b/juniperward/forwarder/effects.py
@@ -48,7 +48,6 @@
     Attributes:
         endpoint_id: Discovery's id of the endpoint, which is journalled.
         route: The scope of a Retry-After in the response; None means the destination.
-        is_repeat: Whether one of the messages possibly executed before; endpoints answer such an attempt at once.
     """
 
     number: int
@@ -60,7 +59,6 @@
     deadline: float
     endpoint_id: str = ""
     route: RouteKey | None = None
-    is_repeat: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,7 +76,10 @@
 
 @dataclass(frozen=True, slots=True)
 class CancelAttempt:
-    """Close the connection of an attempt; `AttemptCancelled` follows in the same round."""
+    """Shut down the connection of an attempt; `AttemptCancelled` follows in the same round.
+
+    If something was written, `AttemptAnswered` follows later, with what was received before the connection ended.
+    """
 
     attempt_number: int
 
@@ -91,13 +92,6 @@
     message: int
 
 
-@dataclass(frozen=True, slots=True)
-class CloseIdleConnections:
-    """Close the idle connections to an endpoint."""
-
-    endpoint: int
-
-
 @dataclass(frozen=True, slots=True)
 class SetEndpointDraining:
     """Stop or resume starting new requests to an endpoint."""
@@ -208,7 +202,6 @@
     | StartHealthCheck
     | CancelAttempt
     | WithdrawFromBatch
-    | CloseIdleConnections
     | SetEndpointDraining
     | ForgetEndpoint
     | PauseRoute
--- a/juniperward/forwarder/endpoint_client.py
+++ b/juniperward/forwarder/endpoint_client.py
@@ -17,8 +17,6 @@
 from juniperward.forwarder.answers import same_outcomes
 from juniperward.forwarder.attempt_call import AttemptCalls
 from juniperward.forwarder.concurrency_limit import MAX_RUNNING_THREADS, ConcurrencyLimit
-from juniperward.forwarder.connection_pool import ConnectionPool
-from juniperward.forwarder.connection_reuse import ConnectionReuse
 from juniperward.forwarder.effects import StartAttempt, StartHealthCheck
 from juniperward.forwarder.endpoint_connection import (
     MAX_LARGE_ANSWERS,
@@ -33,7 +31,6 @@
 from juniperward.forwarder.records import JournalRecord
 from juniperward.forwarder.send_gate import SendGate
 from juniperward.forwarder.telemetry import record_peak, report_fault
-from juniperward.net import sockets
 from juniperward.scheduler.events import Outcome
 
 
@@ -42,16 +39,13 @@
     """The limits of an endpoint client.
 
     Attributes:
-        keepalive_s: the time after which endpoints close idle connections.
         read_timeout_s: the longest time to wait for an answer; at least MIN_READ_TIMEOUT_S is used.
         max_large_answers: how many long answers may be received at the same time.
 
     """
 
     dial_timeout_s: float
-    keepalive_s: float
     max_threads: int
-    max_idle_connections: int
     read_timeout_s: float = MIN_READ_TIMEOUT_S
     max_large_answers: int = MAX_LARGE_ANSWERS
 
@@ -76,15 +70,11 @@
         """Start without threads; `post` takes results, `append` writes to the journal and raises OSError."""
         self._running = ConcurrencyLimit(MAX_RUNNING_THREADS, "calls")
         blocking = self._running.blocking
-        self.reuse = ConnectionReuse()
-        self.pool = ConnectionPool(limits.keepalive_s, limits.max_idle_connections, self.reuse, blocking)
         self.gate = SendGate()
         answer_limits = AnswerLimits(
             max(limits.read_timeout_s, MIN_READ_TIMEOUT_S), LargeAnswers(limits.max_large_answers), blocking
         )
-        self.connections = EndpointConnections(
-            self.pool, self.reuse, self.gate, limits.dial_timeout_s, answer_limits
-        )
+        self.connections = EndpointConnections(self.gate, limits.dial_timeout_s, answer_limits)
         self.attempts = AttemptCalls(self.connections, self.gate, append)
         self.health_checks = HealthCheckCalls(self.connections, self.gate)
         self.max_threads = limits.max_threads
@@ -121,21 +111,27 @@
                 self.free_threads -= 1
 
     def cancel(self, number: int) -> AttemptProgress:
-        """Cancel a call and return its progress; its connection is shut down and its result not posted.
+        """Cancel a call and return its progress.
 
-        A call that has been answered is not cancelled: its progress is FINISHED, and its result is posted.
+        The result of a call that waits is not posted. If some of it was written, its connection is shut down, and its
+        result is what was received before that. A call that has been answered is not cancelled.
         """
         with self.gate.lock:
             call = self.active.get(number)
             if call is None or call.progress is AttemptProgress.FINISHED:
                 return AttemptProgress.FINISHED
-            del self.active[number]
-            call.cancelled = True
-            if call.sock is not None:
-                # The lock is held, as the call's thread may put the connection back, and another call take it.
-                sockets.shutdown(call.sock)
+            if call.progress is AttemptProgress.WAITING:
+                del self.active[number]
+            call.shut_down()
             return call.progress
 
+    def cancel_written(self) -> None:
+        """Cancel all calls of which something was written; their results are posted."""
+        with self.gate.lock:
+            for call in self.active.values():
+                if call.progress in (AttemptProgress.WRITING, AttemptProgress.WRITTEN):
+                    call.shut_down()
+
     def withdraw(self, number: int, message: int) -> AttemptProgress:
         """Leave a message that has ended out of a call that still waits for its connection.
 
@@ -149,28 +145,20 @@
                 call.withdrawn.add(message)
             return call.progress
 
-    def close_idle(self, endpoint: int) -> None:
-        """Close all idle connections to an endpoint."""
-        self.pool.close_idle(endpoint)
-
     def set_draining(self, endpoint: int, draining: bool) -> None:
         """Block new calls to an endpoint that is draining or was removed, or allow them again."""
         self.gate.set_draining(endpoint, draining)
-        self.pool.set_draining(endpoint, draining)
 
     def forget(self, endpoint: int) -> None:
         """Remove the state of a removed endpoint, which must have no call in flight."""
-        self.pool.close_idle(endpoint)
         self.gate.set_draining(endpoint, False)
-        self.pool.set_draining(endpoint, False)
 
     def pause_route(self, route: RouteKey, until: float) -> None:
         """Block calls on a route until `until`, monotonic."""
         self.gate.pause_route(route, until)
 
     def remove_expired(self, now: float) -> None:
-        """Close connections idle for too long, and remove the pauses of routes that have ended."""
-        self.pool.close_expired(now)
+        """Remove the pauses of routes that have ended."""
         self.gate.remove_expired_pauses(now)
 
     def stop_sending(self) -> None:
@@ -187,7 +175,7 @@
             with self.gate.lock:
                 self.free_threads += 1
                 is_active = self.active.pop(call.effect.number, None) is not None
-            if is_active and not call.cancelled:
+            if is_active:
                 self._post(result)
 
     def _run(self, call: ActiveCall) -> Event:
--- a/juniperward/forwarder/endpoint_connection.py
+++ b/juniperward/forwarder/endpoint_connection.py
@@ -1,4 +1,4 @@
-"""A connection to an endpoint, with the time limits of its reads."""
+"""A connection to an endpoint for one call, with the time limits of its reads."""
 
 from __future__ import annotations
 
@@ -6,13 +6,14 @@
 import socket
 import threading
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
-from juniperward.forwarder.connection_reuse import DoubtWindow
 from juniperward.forwarder.telemetry import increment
 from juniperward.net import sockets
-from juniperward.net.http_errors import IncompleteMessageError
-from juniperward.net.stream import CLOSED_BY_PEER, Stream
+from juniperward.net.http_head import MAX_BODY_BYTES, MAX_HEAD_BYTES
+from juniperward.net.sockets import IdleState
+from juniperward.net.stream import Stream
 
 # The time limit of a read, unless a message class has a longer deadline.
 MIN_READ_TIMEOUT_S = 60.0
@@ -21,6 +22,10 @@
 # What is read of an answer at once; a longer answer needs a permit.
 READ_BYTES = 4096
 MAX_LARGE_ANSWERS = 16
+# A wait for a permit looks this often whether its call was cancelled.
+PERMIT_POLL_INTERVAL_S = 0.02
+# No more than this is kept of what was received; a longer answer is not read.
+MAX_RECEIVED_BYTES = MAX_HEAD_BYTES + MAX_BODY_BYTES
 # The context for operations that may block, of a connection whose threads are not limited.
 NOT_LIMITED: contextlib.AbstractContextManager[None] = contextlib.nullcontext()
 
@@ -32,11 +37,15 @@
         """Give up to `max_answers` permits at the same time."""
         self._permits = threading.BoundedSemaphore(max_answers)
 
-    def begin(self, timeout_s: float) -> None:
-        """Wait for a permit; raises TimeoutError if there is none in time."""
-        if not self._permits.acquire(timeout=max(timeout_s, 0.0)):
-            increment("answers_without_memory")
-            raise TimeoutError
+    def begin(self, timeout_s: float, is_cancelled: Callable[[], bool]) -> None:
+        """Wait for a permit; raises TimeoutError if there is none in time, or `is_cancelled` returns true."""
+        deadline = time.monotonic() + timeout_s
+        while not self._permits.acquire(timeout=PERMIT_POLL_INTERVAL_S):
+            if is_cancelled():
+                raise TimeoutError
+            if time.monotonic() >= deadline:
+                increment("answers_without_memory")
+                raise TimeoutError
 
     def end(self) -> None:
         """Return a permit."""
@@ -64,97 +73,76 @@
 DEFAULT_ANSWER_LIMITS = AnswerLimits()
 
 
+class EarlyBytesError(OSError):
+    """The endpoint sent something, or ended the connection, before the last byte of the request was written.
+
+    Attributes:
+        request_begun: Whether some of the request had been written, so that what was received may refer to it.
+    """
+
+    def __init__(self, request_begun: bool) -> None:
+        """Create the error with its message."""
+        super().__init__("sent or closed before the end of the request")
+        self.request_begun = request_begun
+
+
 class EndpointConnection:
-    """A connection to an endpoint; used by one thread at a time.
+    """A connection for one call to an endpoint; used by one thread.
+
+    All that is received on it is the answer to that call.
 
     Attributes:
-        idle_since: when the connection was opened or last put into the pool, monotonic.
-        window: when an answer is in doubt, as the connection has carried an earlier call; None on its first call.
-        is_in_doubt: whether something was received within that window.
-        round_trip_s: how long connecting took.
-        written_at: when the last byte of the latest call was written, monotonic.
-        begun_at: when the latest answer began to arrive, monotonic.
-        transfer_deadline: when an answer that has begun must be complete, monotonic; None before it begins.
-        answer_deadline: when an answer must be complete, whenever it begins, monotonic; None for no limit.
+        received: What was received so far, up to MAX_RECEIVED_BYTES.
+        cancelled: Whether the call was given up; set by another thread, which also shuts the socket down.
+        transfer_deadline: When an answer that has begun must be complete, monotonic; None before it begins.
+        answer_deadline: When an answer must be complete, whenever it begins, monotonic; None for no limit.
 
     """
 
     def __init__(
-        self,
-        sock: socket.socket,
-        address: tuple[str, int],
-        limits: AnswerLimits = DEFAULT_ANSWER_LIMITS,
-        round_trip_s: float = 0.0,
+        self, sock: socket.socket, address: tuple[str, int], limits: AnswerLimits = DEFAULT_ANSWER_LIMITS
     ) -> None:
         """Use a connected socket; `limits` are shared with other connections."""
-        self.round_trip_s = round_trip_s
         self.sock, self.address, self._limits = sock, address, limits
         self._blocking = limits.blocking
         self.stream = Stream(self._receive, READ_BYTES)
-        self._answer_bytes = 0
+        self.received = bytearray()
+        self.cancelled = False
         self._has_permit = False
-        self.idle_since = time.monotonic()
-        self.window: DoubtWindow | None = None
-        self.is_in_doubt = False
-        self.written_at = self.begun_at = self.idle_since
         self.transfer_deadline: float | None = None
         self.answer_deadline: float | None = None
 
     def set_answer_begun(self, begun: bool) -> None:
         """Start the time limit for the transfer of an answer, or clear it while no answer has begun."""
-        if not begun:
-            self.transfer_deadline = None
-            return
-        self.begun_at = time.monotonic()
-        self.transfer_deadline = self.begun_at + MAX_ANSWER_TRANSFER_S
+        self.transfer_deadline = time.monotonic() + MAX_ANSWER_TRANSFER_S if begun else None
 
-    def limit_answer(self, deadline: float) -> None:
-        """Let answers be complete by `deadline`, or by an earlier time that was set before."""
-        self.answer_deadline = min(deadline, self.answer_deadline or deadline)
-
-    def is_silent_until(self, at: float) -> bool:
-        """Return whether nothing is received until `at`, or now if that is over; what is received is kept.
-
-        The time is that of the system's buffer: the thread may come to read it much later.
+    def send(self, data: bytes) -> None:
+        """Write a request.
 
         Raises:
-            IncompleteMessageError: if the connection ends.
+            EarlyBytesError: if the endpoint has sent something or ended the connection before the last byte, which
+                is then not written.
+            OSError: if writing fails.
 
         """
-        if self.stream.buffer:
-            return False
-        while True:
-            try:
-                data = self._receive_until(at)
-            except BlockingIOError:
-                if time.monotonic() >= at:
-                    return True
-                continue
-            except ConnectionError as error:
-                raise IncompleteMessageError(str(error)) from error
-            if not data:
-                raise IncompleteMessageError(CLOSED_BY_PEER)
-            self._answer_bytes += len(data)
-            self.stream.buffer += data
-            return False
-
-    def _receive_until(self, at: float) -> bytes:
-        remaining_s = at - time.monotonic()
-        if remaining_s <= 0:
-            return self.sock.recv(READ_BYTES, socket.MSG_DONTWAIT)
-        sockets.set_timeout(self.sock, socket.SO_RCVTIMEO, remaining_s)
-        with self._blocking:
-            return self.sock.recv(READ_BYTES)
-
-    def send(self, data: bytes) -> None:
-        """Write a request; raises OSError."""
+        self._check_silent(request_begun=False)
         sent_bytes = 0
         with contextlib.suppress(BlockingIOError):
             sent_bytes = self.sock.send(data, socket.MSG_DONTWAIT)
         if sent_bytes < len(data):
             with self._blocking:
-                self.sock.sendall(data[sent_bytes:])
-        self.written_at = time.monotonic()
+                self.sock.sendall(data[sent_bytes:-1])
+                self._check_silent(request_begun=True)
+                self.sock.sendall(data[-1:])
+
+    def _check_silent(self, request_begun: bool) -> None:
+        if sockets.idle_state(self.sock) is not IdleState.SILENT:
+            raise EarlyBytesError(request_begun)
+
+    def receive_available(self) -> None:
+        """Add to `received` what has arrived and was not read, as far as one read returns it."""
+        with contextlib.suppress(OSError):
+            self.received += self.sock.recv(READ_BYTES, socket.MSG_DONTWAIT)
 
     def close(self) -> None:
         """Close the socket."""
@@ -163,14 +151,14 @@
 
     def _receive(self, size: int) -> bytes:
         """Return at most `size` bytes; raises TimeoutError or BlockingIOError at a time limit."""
-        if self._answer_bytes >= READ_BYTES and not self._has_permit:
+        if len(self.received) >= READ_BYTES and not self._has_permit:
             with self._blocking:
-                self._limits.large_answers.begin(self._remaining_s())
+                self._limits.large_answers.begin(self._remaining_s(), lambda: self.cancelled)
             self._has_permit = True
         sockets.set_timeout(self.sock, socket.SO_RCVTIMEO, self._remaining_s())
         with self._blocking:
             data = self.sock.recv(size)
-        self._answer_bytes += len(data)
+        self.received += data[: MAX_RECEIVED_BYTES - len(self.received)]
         return data
 
     def _remaining_s(self) -> float:
@@ -185,7 +173,7 @@
 
     def end_answer(self) -> None:
         """Return the permit for a large answer, once the answer is not held any more."""
-        self._answer_bytes = 0
+        self.received.clear()
         if self._has_permit:
             self._has_permit = False
             self._limits.large_answers.end()
--- a/juniperward/forwarder/health_check_call.py
+++ b/juniperward/forwarder/health_check_call.py
@@ -1,7 +1,7 @@
 """Makes a health check on the thread of its call: opens a connection, sends the request and reads the answer.
 
-`endpoint_client.py` calls `HealthCheckCalls.run`. The connection is left to later attempts. Like an attempt, a
-health check is not sent to a draining endpoint or on a paused route.
+`endpoint_client.py` calls `HealthCheckCalls.run`. Like an attempt, a health check is not sent to a draining endpoint
+or on a paused route.
 """
 
 from __future__ import annotations
@@ -13,6 +13,7 @@
 from juniperward.forwarder.answer_headers import read_load_report, read_retry_after
 from juniperward.forwarder.answers import read_health
 from juniperward.forwarder.effects import StartHealthCheck
+from juniperward.forwarder.endpoint_connection import EarlyBytesError
 from juniperward.forwarder.endpoint_connections import EndpointConnections
 from juniperward.forwarder.endpoint_requests import encode_health_check
 from juniperward.forwarder.events import HealthCheckAnswered
@@ -34,7 +35,6 @@
     def run(self, call: ActiveCall, check: StartHealthCheck) -> HealthCheckAnswered:
         """Make a health check and return its result."""
         began = time.monotonic()
-        # On a connection of its own, no answer to an earlier call can be taken for that of the health check.
         connection = self._connections.dial(call)
         if connection is None:
             return health_check_without_answer(check, Outcome.CONNECT_FAILED, began)
@@ -42,26 +42,28 @@
             may_send = not call.cancelled and self._gate.is_open(check, time.monotonic())
         if not may_send:
             increment("health_checks_withheld")
-            self._connections.put_back(call, connection)
+            connection.close()
             return health_check_without_answer(check, Outcome.NOT_SENT, began)
         connection.answer_deadline = check.deadline
         try:
             connection.send(encode_health_check(check))
             answer = read_response(connection.stream, connection.set_answer_begun)
-            connection.answer_deadline = None
         except (IncompleteMessageError, MalformedMessageError, OSError) as error:
-            connection.close()
-            return health_check_without_answer(check, _outcome_of_error(check, error), began)
+            if isinstance(error, EarlyBytesError):
+                connection.receive_available()
+            _, retry_after_s = self._connections.release_incomplete(call, connection)
+            return health_check_without_answer(check, _outcome_of_error(check, error), began, retry_after_s)
         increment("health_checks_answered")
         self._connections.release(call, connection, answer)
-        return _answered(check, read_health(answer, on_new_connection=True), began, answer)
+        return _answered(check, read_health(answer), began, answer)
 
 
 def health_check_without_answer(
-    check: StartHealthCheck, outcome: Outcome, began: float
+    check: StartHealthCheck, outcome: Outcome, began: float, retry_after_s: float = 0.0
 ) -> HealthCheckAnswered:
     """Return the result of a health check without a complete answer; `began` is its start, monotonic."""
-    return HealthCheckAnswered(check.number, check.endpoint, outcome, time.monotonic() - began)
+    latency_s = time.monotonic() - began
+    return HealthCheckAnswered(check.number, check.endpoint, outcome, latency_s, retry_after_s=retry_after_s)
 
 
 def _answered(
--- a/juniperward/forwarder/loop.py
+++ b/juniperward/forwarder/loop.py
@@ -18,6 +18,8 @@
 
 EXPIRY_INTERVAL_S = 1.0
 EXIT_CHECK_INTERVAL_S = 0.05
+# The threads of cancelled calls have this time to read what has arrived.
+LAST_ANSWERS_TIMEOUT_S = 0.1
 
 
 class Loop:
@@ -72,6 +74,17 @@
             if now >= self._remove_expired_at:
                 self._remove_expired_at = now + EXPIRY_INTERVAL_S
                 executor.endpoint_client.remove_expired(now)
-        # Events posted so far are still processed; the next process restores from the journal what is left.
-        executor.endpoint_client.stop_sending()
+        self._end_calls()
+
+    def _end_calls(self) -> None:
+        """Cancel the calls in flight, and process what endpoints have answered until then.
+
+        Events posted so far are processed, too; the next process restores from the journal what is left.
+        """
+        endpoint_client = self.executor.endpoint_client
+        endpoint_client.stop_sending()
+        endpoint_client.cancel_written()
+        deadline = time.monotonic() + LAST_ANSWERS_TIMEOUT_S
         self.round(self.queue.wait(0.0))
+        while self.reducer.state.attempts_in_flight and (wait_s := deadline - time.monotonic()) > 0:
+            self.round(self.queue.wait(wait_s))
--- a/juniperward/forwarder/memory_limits.py
+++ b/juniperward/forwarder/memory_limits.py
@@ -33,8 +33,9 @@
 CLIENT_THREAD_BYTES = 80 * 1024
 # A call's thread has its stack and the first bytes of the answer that it reads.
 CALL_BYTES = 36 * 1024
-# A large answer is held as what came of its head, two copies of its lines, and its body in parts and whole.
-LARGE_ANSWER_BYTES = 3 * MAX_HEAD_BYTES + 2 * MAX_BODY_BYTES
+# A large answer is held as it was received, what came of its head, two copies of its lines, and its body in parts and
+# whole.
+LARGE_ANSWER_BYTES = 4 * MAX_HEAD_BYTES + 3 * MAX_BODY_BYTES
 # A pending message is held as its content and as its line in the journal, in Base64, and copied by compactions.
 MESSAGE_COPIES = 3
 
@@ -106,5 +107,4 @@
         clients=min(connections.clients, memory.clients),
         closing_clients=connections.closing_clients,
         calls=min(connections.calls, memory.calls),
-        idle_endpoint_connections=connections.idle_endpoint_connections,
     )
--- a/juniperward/forwarder/model.py
+++ b/juniperward/forwarder/model.py
@@ -97,6 +97,7 @@
         reported_limit_per_s: The rate limit that the endpoint reported, or None.
         connection_table_full: Whether the endpoint runs but accepts no more connections.
         written: Whether the journal has the attempt, as it must before a byte of the message is written.
+        attempts_exhausted: Whether the message must not be attempted again, and its client must be notified.
     """
 
     message: int
@@ -108,6 +109,7 @@
     reported_limit_per_s: float | None = None
     connection_table_full: bool = False
     written: bool = True
+    attempts_exhausted: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/juniperward/forwarder/reducer/attempts.py
+++ b/juniperward/forwarder/reducer/attempts.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from dataclasses import replace
 
 from juniperward.forwarder.effects import (
     AppendRecord,
@@ -31,7 +32,7 @@
 from juniperward.forwarder.state import AttemptInFlight, PendingMessage
 from juniperward.forwarder.telemetry import check_invariant, increment, report_fault
 from juniperward.scheduler.actions import StartAttempt as ScheduledAttempt
-from juniperward.scheduler.events import AttemptFinished, Outcome
+from juniperward.scheduler.events import AttemptFinished, MessageWithdrawn, Outcome
 from juniperward.scheduler.settings import SchedulerSettings
 
 # An attempt is not started with less time than this left until the process must exit.
@@ -94,13 +95,9 @@
                 now + max(message.timeout_s for message in scheduled),
                 endpoint.id,
                 route_of(endpoint, self._round.settings),
-                any(self._possibly_executed(message.message) for message in scheduled),
             )
         )
 
-    def _possibly_executed(self, message: int) -> bool:
-        return self._round.state.messages.pending[message].executed_at is not None
-
     def _add_message(
         self, attempt: AttemptInFlight, endpoint: Endpoint, scheduled: ScheduledAttempt
     ) -> BatchItem:
@@ -119,7 +116,7 @@
     # --- outcomes ---------------------------------------------------------------------------------------
 
     def answered(self, event: AttemptAnswered) -> None:
-        """Apply the outcomes of an attempt; one that was cancelled before is ignored."""
+        """Apply the outcomes of an attempt, also of one that was cancelled after some of it was written."""
         in_flight = self._round.state.attempts_in_flight
         attempt = in_flight.get(event.attempt_number)
         if attempt is None:
@@ -130,18 +127,30 @@
         )
         for item in rejections_first:
             if item.message in attempt.unanswered:
-                self._finish(attempt, item)
+                self._finish(attempt, _with_timeout(attempt, item))
+            elif item.message in attempt.timed_out:
+                self._end_late(item)
         for message in list(attempt.unanswered):
             check_invariant(False, "every_message_of_an_attempt_ends")
             self._finish(attempt, ItemOutcome(message, Outcome.RESET))
         in_flight.pop(event.attempt_number, None)
 
+    def _end_late(self, item: ItemOutcome) -> None:
+        """End a message by the answer to an attempt that had timed out for it, if it is to be attempted again."""
+        pending = self._round.state.messages.pending.get(item.message)
+        if pending is None or not (item.message_ended or item.attempts_exhausted):
+            return
+        if pending.attempt_number is not None:
+            self._round.emit(WithdrawFromBatch(pending.attempt_number, item.message))
+        self._end(pending, item)
+        self._round.notify_scheduler(MessageWithdrawn(item.message))
+
     def _finish(self, attempt: AttemptInFlight, item: ItemOutcome) -> None:
         """Apply the outcome of one message of an attempt, and report it to the scheduler."""
         ordinal = attempt.unanswered.pop(item.message)
         endpoint = self._round.state.directory.endpoints[attempt.endpoint]
         increment(f"attempts_{item.outcome.name.lower()}")
-        message_ended = item.message_ended or item.outcome is Outcome.OK
+        message_ended = item.message_ended or item.attempts_exhausted or item.outcome is Outcome.OK
         pending = self._round.state.messages.pending.get(item.message)
         if pending is not None:
             self._finish_pending(pending, endpoint, item, message_ended)
@@ -176,13 +185,21 @@
         if executed and not message_ended and pending.executed_at is None:
             pending.executed_at = pending.attempt_started_at
         self._dead_letters.add_attempt(pending, endpoint, item)
-        if item.outcome is Outcome.OK:
-            increment("messages_delivered")
         if message_ended:
-            self._completion.complete(pending, delivered=item.outcome is Outcome.OK)
+            self._end(pending, item)
         elif item.written:
             self._round.emit(AppendRecord(AttemptFinishedRecord(pending.message.id, executed)))
 
+    def _end(self, pending: PendingMessage, item: ItemOutcome) -> None:
+        """End a message by an answer: it is completed, or its client is notified as no attempt is left."""
+        if item.attempts_exhausted:
+            self._completion.remove(pending)
+            self._completion.give_up(pending, None)
+            return
+        if item.outcome is Outcome.OK:
+            increment("messages_delivered")
+        self._completion.complete(pending, delivered=item.outcome is Outcome.OK)
+
     # --- cancellation -----------------------------------------------------------------------------------
 
     def deadline_reached(self, event: DeadlineReached) -> None:
@@ -196,29 +213,32 @@
             self._round.emit(WithdrawFromBatch(event.attempt_number, event.message))
 
     def item_withdrawn(self, event: BatchItemWithdrawn) -> None:
-        """Time out a withdrawn message; the attempt's progress tells whether it was possibly executed."""
+        """Time out a withdrawn message, or cancel its attempt, whose answer may have arrived before."""
         state = self._round.state
         attempt = state.attempts_in_flight.get(event.attempt_number)
         # The outcomes of a finished attempt are queued already, and they count.
         finished = event.progress is AttemptProgress.FINISHED
         if attempt is None or event.message not in attempt.unanswered or finished:
             return
-        pending = state.messages.pending.get(event.message)
-        cancel_at = pending.client_deadline_at if pending is not None else self._round.now
-        self._finish(attempt, self._unanswered_outcome(event.message, event.progress, Outcome.TIMEOUT))
-        if not attempt.unanswered:
-            del state.attempts_in_flight[event.attempt_number]
-            self._round.emit(CancelAttempt(event.attempt_number))
-        elif event.progress is AttemptProgress.WRITING:
+        attempt.timed_out.add(event.message)
+        if event.progress is AttemptProgress.WAITING:
+            self._finish(attempt, ItemOutcome(event.message, Outcome.NOT_SENT, written=False))
+            if not attempt.unanswered:
+                del state.attempts_in_flight[event.attempt_number]
+                self._round.emit(CancelAttempt(event.attempt_number))
+        elif event.progress is AttemptProgress.WRITING or attempt.unanswered.keys() <= attempt.timed_out:
             # A message cannot be removed from a partly written request, so the whole attempt is cancelled.
             self.cancel(event.attempt_number)
-        elif event.progress is AttemptProgress.WRITTEN:
+        else:
             # The messages share one response, which must arrive before the first client deadline among them:
             # a later one counts for none of them.
+            pending = state.messages.pending.get(event.message)
+            cancel_at = pending.client_deadline_at if pending is not None else self._round.now
+            self._finish(attempt, ItemOutcome(event.message, Outcome.TIMEOUT))
             self._round.emit(SetTimer(cancel_at, CancellationTimerFired(event.attempt_number)))
 
     def cancel(self, attempt_number: int) -> None:
-        """Close an attempt's connection; `AttemptCancelled` follows and ends its messages."""
+        """Shut down an attempt's connection; `AttemptCancelled` or `AttemptAnswered` ends its messages."""
         attempt = self._round.state.attempts_in_flight.get(attempt_number)
         if attempt is not None and not attempt.cancelled:
             attempt.cancelled = True
@@ -231,17 +251,21 @@
             self.cancel(pending.attempt_number)
 
     def cancelled(self, event: AttemptCancelled) -> None:
-        """End the messages of a cancelled attempt; one that had finished before keeps its outcomes."""
-        if event.progress is AttemptProgress.FINISHED:
+        """End the messages of an attempt that was cancelled while it waited.
+
+        If some of it was written, `AttemptAnswered` follows, as its answer may have arrived before.
+        """
+        if event.progress is not AttemptProgress.WAITING:
             return
         attempt = self._round.state.attempts_in_flight.pop(event.attempt_number, None)
         if attempt is None:
             return
         for message in list(attempt.unanswered):
-            self._finish(attempt, self._unanswered_outcome(message, event.progress, Outcome.CANCELLED))
+            self._finish(attempt, ItemOutcome(message, Outcome.NOT_SENT, written=False))
+
 
-    @staticmethod
-    def _unanswered_outcome(message: int, progress: AttemptProgress, outcome: Outcome) -> ItemOutcome:
-        """Return the outcome of a message without a response: `NOT_SENT` if nothing was written."""
-        written = progress is not AttemptProgress.WAITING
-        return ItemOutcome(message, outcome if written else Outcome.NOT_SENT, written=written)
+def _with_timeout(attempt: AttemptInFlight, item: ItemOutcome) -> ItemOutcome:
+    """Return an outcome, TIMEOUT in place of CANCELLED for a message whose deadline was the reason."""
+    if item.outcome is Outcome.CANCELLED and item.message in attempt.timed_out:
+        return replace(item, outcome=Outcome.TIMEOUT)
+    return item
--- a/juniperward/forwarder/reducer/scheduling.py
+++ b/juniperward/forwarder/reducer/scheduling.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from juniperward.forwarder.effects import CloseIdleConnections, SetTimer, WriteLog
+from juniperward.forwarder.effects import SetTimer, WriteLog
 from juniperward.forwarder.events import SchedulerTimerFired
 from juniperward.forwarder.reducer.attempts import Attempts
 from juniperward.forwarder.reducer.completion import Completion
@@ -71,8 +71,8 @@
                 self._handlers.attempts.cancel_message(number)
             case scheduler_actions.SetTimer(delay_s=delay_s, token=token):
                 self._round.emit(SetTimer(self._round.now + delay_s, SchedulerTimerFired(token)))
-            case scheduler_actions.CloseIdleConnections(endpoint=endpoint):
-                self._round.emit(CloseIdleConnections(endpoint))
+            case scheduler_actions.CloseIdleConnections():
+                pass  # No connection is kept behind its call.
             case scheduler_actions.PollEndpointList():
                 self._handlers.endpoint_list.watch()
             case scheduler_actions.StartHealthCheck(endpoint=endpoint):
@@ -85,7 +85,10 @@
                 self._round.emit(WriteLog("destination recovered", (("destination", destination),)))
 
     def _give_up(self, number: int, retry_after_s: float | None) -> None:
-        """Give up a message; its attempt in flight, if any, is not cancelled and still gets an outcome."""
+        """Give up a message.
+
+        An attempt in flight is not cancelled and still gets an outcome, but must not be written any more.
+        """
         pending = self._round.state.messages.pending.get(number)
         if pending is None:
             check_invariant(False, "one_final_answer")
--- a/juniperward/forwarder/state.py
+++ b/juniperward/forwarder/state.py
@@ -58,6 +58,7 @@
         unanswered: For each message without an outcome, the ordinal of this attempt among the message's own,
             from 0.
         cancelled: Whether the cancellation was requested.
+        timed_out: The messages whose deadline was reached.
     """
 
     number: int
@@ -65,6 +66,7 @@
     started_at: float
     unanswered: dict[int, int] = field(default_factory=dict)
     cancelled: bool = False
+    timed_out: set[int] = field(default_factory=set)
 
 
 @dataclass(slots=True)
--- a/juniperward/forwarder/trace.py
+++ b/juniperward/forwarder/trace.py
@@ -14,7 +14,6 @@
 
 from juniperward.forwarder.effects import (
     AcceptMessage,
-    CloseIdleConnections,
     Effect,
     ReplyToClient,
     SendNotifications,
@@ -91,19 +90,13 @@
                 lines = [f"call {effect.number} {effect.destination} {address} {len(items)} {ids}"]
             case SendNotifications(notifications=notifications):
                 lines = [_notification_line(notification) for notification in notifications]
-            case CloseIdleConnections(endpoint=endpoint):
-                lines = [f"close {endpoint}"]
             case WriteLog(event=event, fields=fields):
                 lines = [f"say {format_event(event, dict(fields))}"]
         return lines
 
-    def write_answer(
-        self, attempt_number: int, on_new_connection: bool, status: int, close: bool, headers: str
-    ) -> None:
+    def write_answer(self, attempt_number: int, status: int, close: bool, headers: str) -> None:
         """Write the status and the headers of an endpoint's answer."""
-        how = (
-            f"{'fresh' if on_new_connection else 'kept'} {status} {'closes' if close else 'stays'} {headers}"
-        )
+        how = f"fresh {status} {'closes' if close else 'stays'} {headers}"
         self._write(time.monotonic(), [f"answer {attempt_number} {how}"])
 
     def _write(self, now: float, lines: list[str]) -> None:
--- a/juniperward/net/http_responses.py
+++ b/juniperward/net/http_responses.py
@@ -66,18 +66,6 @@
     raise IncompleteMessageError.after(status, problem)
 
 
-def read_next_response(stream: Stream, set_begun: Callable[[bool], None] = _ignore_begun) -> HttpResponse:
-    """Return the next response, which may be an interim one; `set_begun` and the errors are those of `read_head`."""
-    _wait_for_response(stream, set_begun)
-    version, status = _read_status_line(stream)
-    try:
-        headers = read_headers(stream, MAX_HEAD_BYTES)
-        body = b"" if status < FIRST_FINAL_STATUS else _read_body(stream, status, headers, MAX_BODY_BYTES)
-    except (IncompleteMessageError, MalformedMessageError) as error:
-        raise IncompleteMessageError.after(status, error) from error
-    return HttpResponse(status, headers, body, ends_connection(version, headers))
-
-
 def _wait_for_response(stream: Stream, set_begun: Callable[[bool], None]) -> None:
     """Wait for the first bytes of a response."""
     set_begun(False)
