Let what an incomplete answer has said bind: an ended message, a Retry-After

An answer that was not complete was a reset whatever it had said.

All bytes of a call's connection are its answer, so they are read once more when the answer is incomplete or malformed (net/partial_response.py). One principle decides: what forbids a further attempt or delays it binds as soon as it has arrived (a 200's first line, a 410's status code, whole entries 'gone' of a batch, Retry-After); what would permit one, that a message did not execute, needs the complete answer, as the protocol says of a connection that breaks. A 429 that lost its Retry-After pauses its route for the latest one, or 1 s. An answer 410 is journalled by the thread that read it, so that a kill before the loop's record does not lose it.

An outcome of a timed-out message is never needed later, as attempts last until a message's own deadline; its handling was removed.

--- a/juniperward/forwarder/answers.py
+++ b/juniperward/forwarder/answers.py
@@ -19,7 +19,7 @@
     read_retry_after,
 )
 from juniperward.forwarder.effects import StartAttempt
-from juniperward.forwarder.limited_json import read_json
+from juniperward.forwarder.limited_json import read_json, read_whole_objects
 from juniperward.forwarder.model import ItemOutcome
 from juniperward.forwarder.telemetry import increment, log
 from juniperward.net.http_status import HttpStatus
@@ -130,9 +130,32 @@
 
     Status 200 delivers a single message with its first line, and a batch only with the complete answer.
     """
-    if len(attempt.items) > 1 or answer.status != HttpStatus.OK or not answer.has_status_line:
-        return {}
-    return {item.content.id: ITEM_STATES["ok"] for item in attempt.items}
+    is_single = len(attempt.items) == 1
+    match answer.status:
+        case HttpStatus.OK if is_single:
+            state = ITEM_STATES["ok"] if answer.has_status_line else None
+        case HttpStatus.OK:
+            return _read_final_states(answer.body, len(attempt.items))
+        case HttpStatus.GONE:
+            state = ITEM_STATES["gone"]
+        case _:
+            state = None
+    return {} if state is None else {item.content.id: state for item in attempt.items}
+
+
+def _read_final_states(body: bytes, items: int) -> dict[str, ItemState]:
+    """Return the states of messages that are ended or out of attempts, in the whole entries of a batch's answer."""
+    states: dict[str, ItemState] = {}
+    for row in read_whole_objects(body, 1 + items):
+        message_id, name = row.get("id"), row.get("state")
+        state = ITEM_STATES.get(name) if isinstance(name, str) else None
+        if (
+            isinstance(message_id, str)
+            and state is not None
+            and (state.message_ended or state.attempts_exhausted)
+        ):
+            states[message_id] = state
+    return states
 
 
 def _item_outcome(
@@ -206,7 +229,7 @@
 def _read_states(attempt: StartAttempt, answer: HttpResponse) -> dict[str, ItemState]:
     """Return the states by message id.
 
-    An unreadable body is counted and logged, and gives none.
+    An unreadable body is counted and logged, and gives the states that allow no further attempt.
     """
     try:
         rows = read_json(answer.body, 1 + len(attempt.items))
@@ -221,7 +244,7 @@
         endpoint=_address(attempt),
         messages=len(attempt.items),
     )
-    return {}
+    return _read_final_states(answer.body, len(attempt.items))
 
 
 def _address(attempt: StartAttempt) -> str:
--- a/juniperward/forwarder/attempt_call.py
+++ b/juniperward/forwarder/attempt_call.py
@@ -6,11 +6,13 @@
 
 from __future__ import annotations
 
+import contextlib
 import itertools
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
+from juniperward.dead_letters.ownership import is_redrive_id
 from juniperward.forwarder.active_call import ActiveCall
 from juniperward.forwarder.address import format_address
 from juniperward.forwarder.answers import read_outcomes, read_partial_outcomes, same_outcomes
@@ -19,7 +21,7 @@
 from juniperward.forwarder.endpoint_connections import EndpointConnections
 from juniperward.forwarder.endpoint_requests import encode_attempt
 from juniperward.forwarder.model import AttemptProgress, BatchItem, ItemOutcome
-from juniperward.forwarder.records import AttemptStartedRecord, JournalRecord
+from juniperward.forwarder.records import AttemptStartedRecord, CompletedRecord, JournalRecord
 from juniperward.forwarder.send_gate import SendGate
 from juniperward.forwarder.stray_answers import report_stray_bytes
 from juniperward.forwarder.telemetry import increment, log
@@ -146,7 +148,7 @@
         if self.trace is not None:
             self.trace.write_answer(attempt.number, answer.status, answer.close, f"{dict(answer.headers)}")
         self._connections.release(call, connection, answer)
-        return read_outcomes(attempt, answer)
+        return self._journal_ended(attempt, read_outcomes(attempt, answer))
 
     def _outcomes_of_failed_write(
         self, call: ActiveCall, attempt: StartAttempt, connection: EndpointConnection, error: OSError
@@ -162,7 +164,8 @@
         without_answer = Outcome.CANCELLED if call.cancelled else Outcome.CONNECT_FAILED
         if isinstance(error, EarlyBytesError) and not error.request_begun:
             answer = NOTHING_KNOWN
-        return read_partial_outcomes(attempt, answer, without_answer, retry_after_s)
+        outcomes = read_partial_outcomes(attempt, answer, without_answer, retry_after_s)
+        return self._journal_ended(attempt, outcomes)
 
     def _outcomes_of_incomplete_answer(
         self, call: ActiveCall, attempt: StartAttempt, connection: EndpointConnection, error: Exception
@@ -180,7 +183,24 @@
                 error=error,
             )
         without_answer = Outcome.CANCELLED if call.cancelled else Outcome.RESET
-        return read_partial_outcomes(attempt, answer, without_answer, retry_after_s)
+        outcomes = read_partial_outcomes(attempt, answer, without_answer, retry_after_s)
+        return self._journal_ended(attempt, outcomes)
+
+    def _journal_ended(
+        self, attempt: StartAttempt, outcomes: tuple[ItemOutcome, ...]
+    ) -> tuple[ItemOutcome, ...]:
+        """Journal at once that messages are over, and return the outcomes.
+
+        A process that is killed before the loop has handled them must not attempt these messages again. The outcome
+        of a redrive is written elsewhere first, by the loop.
+        """
+        ids = {item.message: item.content.id for item in attempt.items}
+        for outcome in outcomes:
+            message_id = ids[outcome.message]
+            if outcome.message_ended and not is_redrive_id(message_id):
+                with contextlib.suppress(OSError):  # The loop writes it once more, and reports a failure.
+                    self.append(CompletedRecord(message_id))
+        return outcomes
 
 
 def _with_items(attempt: StartAttempt, items: tuple[BatchItem, ...]) -> StartAttempt:
--- a/juniperward/forwarder/endpoint_connections.py
+++ b/juniperward/forwarder/endpoint_connections.py
@@ -22,9 +22,13 @@
 from juniperward.forwarder.stray_answers import report_stray_bytes
 from juniperward.forwarder.telemetry import increment, log
 from juniperward.net import sockets
+from juniperward.net.http_status import HttpStatus
 from juniperward.net.http_values import HttpResponse
 from juniperward.net.partial_response import PartialResponse, parse_partial_response
 
+# The statuses that may carry a Retry-After.
+REJECTIONS = (HttpStatus.TOO_MANY_REQUESTS, HttpStatus.SERVICE_UNAVAILABLE)
+
 
 class EndpointConnections:
     """Opens and closes connections; safe to call from any thread."""
@@ -81,19 +85,26 @@
             report_stray_bytes("behind an answer", connection.address)
         connection.close()
         retry_after_s = read_retry_after(answer.headers)
+        if answer.status in REJECTIONS:
+            self._gate.record_retry_after(route_of(call.effect), retry_after_s, time.monotonic())
         self._pause_route(call, retry_after_s)
 
     def release_incomplete(
         self, call: ActiveCall, connection: EndpointConnection
     ) -> tuple[PartialResponse, float]:
-        """Close the connection of a call whose answer is not complete, and pause its route for a Retry-After.
+        """Close the connection of a call whose answer is not complete, and pause its route if it was rejected.
 
-        Return what the answer says, and the Retry-After.
+        Return what the answer says, and the Retry-After that holds. If the header of a rejection may have been lost,
+        that is the latest one of the route.
         """
         answer = parse_partial_response(bytes(connection.received))
         self._finish(call)
         connection.close()
         retry_after_s = read_partial_retry_after(answer)
+        if answer.status in REJECTIONS and not answer.has_head:
+            is_certain = answer.status == HttpStatus.TOO_MANY_REQUESTS
+            assumed_s = self._gate.assumed_retry_after_s(route_of(call.effect), is_certain)
+            retry_after_s = max(retry_after_s, assumed_s)
         self._pause_route(call, retry_after_s)
         return answer, retry_after_s
 
--- a/juniperward/forwarder/limited_json.py
+++ b/juniperward/forwarder/limited_json.py
@@ -3,6 +3,11 @@
 from __future__ import annotations
 
 import json
+import re
+
+JSON_DECODER = json.JSONDecoder()
+ARRAY_START = re.compile(r"\s*\[\s*")
+SEPARATOR = re.compile(r"\s*,\s*")
 
 
 class NestingError(ValueError):
@@ -25,7 +30,35 @@
         ValueError: where the text is not JSON.
 
     """
-    if text.count(b"{") + text.count(b"[") > max_containers:
-        raise NestingError(max_containers)
+    _check_nesting(text, max_containers)
     decoded: object = json.loads(text)
     return decoded
+
+
+def read_whole_objects(text: bytes, max_containers: int) -> list[dict[str, object]]:
+    """Return the objects at the start of a JSON array, up to the first one that is not whole or not an object.
+
+    There may be `max_containers` arrays and objects; with more, none is returned.
+    """
+    try:
+        _check_nesting(text, max_containers)
+    except NestingError:
+        return []
+    decoded = text.decode("utf-8", errors="replace")
+    array = ARRAY_START.match(decoded)
+    objects: list[dict[str, object]] = []
+    position = array.end() if array is not None else len(decoded)
+    while decoded.startswith("{", position):
+        try:
+            value, end = JSON_DECODER.raw_decode(decoded, position)
+        except ValueError:
+            break
+        objects.append(value)
+        separator = SEPARATOR.match(decoded, end)
+        position = separator.end() if separator is not None else len(decoded)
+    return objects
+
+
+def _check_nesting(text: bytes, max_containers: int) -> None:
+    if text.count(b"{") + text.count(b"[") > max_containers:
+        raise NestingError(max_containers)
--- a/juniperward/forwarder/reducer/attempts.py
+++ b/juniperward/forwarder/reducer/attempts.py
@@ -32,7 +32,7 @@
 from juniperward.forwarder.state import AttemptInFlight, PendingMessage
 from juniperward.forwarder.telemetry import check_invariant, increment, report_fault
 from juniperward.scheduler.actions import StartAttempt as ScheduledAttempt
-from juniperward.scheduler.events import AttemptFinished, MessageWithdrawn, Outcome
+from juniperward.scheduler.events import AttemptFinished, Outcome
 from juniperward.scheduler.settings import SchedulerSettings
 
 # An attempt is not started with less time than this left until the process must exit.
@@ -128,23 +128,11 @@
         for item in rejections_first:
             if item.message in attempt.unanswered:
                 self._finish(attempt, _with_timeout(attempt, item))
-            elif item.message in attempt.timed_out:
-                self._end_late(item)
         for message in list(attempt.unanswered):
             check_invariant(False, "every_message_of_an_attempt_ends")
             self._finish(attempt, ItemOutcome(message, Outcome.RESET))
         in_flight.pop(event.attempt_number, None)
 
-    def _end_late(self, item: ItemOutcome) -> None:
-        """End a message by the answer to an attempt that had timed out for it, if it is to be attempted again."""
-        pending = self._round.state.messages.pending.get(item.message)
-        if pending is None or not (item.message_ended or item.attempts_exhausted):
-            return
-        if pending.attempt_number is not None:
-            self._round.emit(WithdrawFromBatch(pending.attempt_number, item.message))
-        self._end(pending, item)
-        self._round.notify_scheduler(MessageWithdrawn(item.message))
-
     def _finish(self, attempt: AttemptInFlight, item: ItemOutcome) -> None:
         """Apply the outcome of one message of an attempt, and report it to the scheduler."""
         ordinal = attempt.unanswered.pop(item.message)
--- a/juniperward/forwarder/send_gate.py
+++ b/juniperward/forwarder/send_gate.py
@@ -7,10 +7,24 @@
 
 import math
 import threading
+from dataclasses import dataclass
 
 from juniperward.forwarder.effects import StartAttempt, StartHealthCheck
 from juniperward.forwarder.model import RouteKey
 
+# A 429 has a Retry-After; this one is assumed if it was lost and the route had none before.
+DEFAULT_RETRY_AFTER_S = 1.0
+# The latest Retry-After of a route is assumed for this time.
+RETRY_AFTER_MAX_AGE_S = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class LatestRetryAfter:
+    """The Retry-After of a rejection, 0 if it had none, and when it was received, monotonic."""
+
+    retry_after_s: float
+    received_at: float
+
 
 def route_of(call: StartAttempt | StartHealthCheck) -> RouteKey:
     """Return the route that a Retry-After in the answer to a call pauses."""
@@ -25,6 +39,7 @@
         self.lock = threading.Lock()
         self.draining: set[int] = set()
         self.paused_until: dict[RouteKey, float] = {}
+        self._latest_retry_after: dict[RouteKey, LatestRetryAfter] = {}
         self.closed = False
 
     def is_open(self, call: StartAttempt | StartHealthCheck, now: float) -> bool:
@@ -46,12 +61,32 @@
         with self.lock:
             self.paused_until[route] = max(until, self.paused_until.get(route, until))
 
+    def record_retry_after(self, route: RouteKey, retry_after_s: float, now: float) -> None:
+        """Keep the Retry-After of a rejection, 0 if it has none."""
+        with self.lock:
+            self._latest_retry_after[route] = LatestRetryAfter(retry_after_s, now)
+
+    def assumed_retry_after_s(self, route: RouteKey, is_certain: bool) -> float:
+        """Return the Retry-After to assume if that of a rejection was lost; `is_certain` tells that it had one."""
+        with self.lock:
+            latest = self._latest_retry_after.get(route)
+        if latest is not None and latest.retry_after_s > 0:
+            return latest.retry_after_s
+        return DEFAULT_RETRY_AFTER_S if is_certain else 0.0
+
     def remove_expired_pauses(self, now: float) -> None:
-        """Remove the pauses that have ended."""
+        """Remove the pauses that have ended, and old values of Retry-After."""
         with self.lock:
             expired = [route for route, until in self.paused_until.items() if until <= now]
             for route in expired:
                 del self.paused_until[route]
+            outdated = [
+                route
+                for route, latest in self._latest_retry_after.items()
+                if latest.received_at < now - RETRY_AFTER_MAX_AGE_S
+            ]
+            for route in outdated:
+                del self._latest_retry_after[route]
 
     def close(self) -> None:
         """Block all further calls, as the next process may not find their records in the journal."""
--- a/tests/test_stray_answers.py
+++ b/tests/test_stray_answers.py
@@ -284,7 +284,7 @@
     ) -> None:
         # Guards against another call of a message that is over, when the endpoint did not wait for its body.
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-        cases = ((REJECTED, Outcome.CONNECT_FAILED, False),)
+        cases = ((GONE, Outcome.NOT_SENT, True), (REJECTED, Outcome.CONNECT_FAILED, False))
         for answer, outcome, ended in cases:
             with subtests.test(answer=answer):
                 item = BatchItem(1, Message("m1", 0, 0, 7, 1.0, None, b"x" * 8_000_000))
