End a message that has had all its attempts with a notification, without further calls

504, and the state exhausted of a batch, now end the message: its client is notified at once, a redrive gets its outcome, and the scheduler drops the message. The same holds of a 504 that is cut behind its status code.

--- a/juniperward/forwarder/answers.py
+++ b/juniperward/forwarder/answers.py
@@ -60,7 +60,7 @@
     "error": ItemState(Outcome.ERROR),
     "later": ItemState(Outcome.OVERLOADED),
     "gone": ItemState(Outcome.NOT_SENT, message_ended=True),
-    "exhausted": ItemState(Outcome.NOT_SENT),
+    "exhausted": ItemState(Outcome.NOT_SENT, attempts_exhausted=True),
 }
 
 
@@ -138,6 +138,8 @@
             return _read_final_states(answer.body, len(attempt.items))
         case HttpStatus.GONE:
             state = ITEM_STATES["gone"]
+        case HttpStatus.GATEWAY_TIMEOUT:
+            state = ITEM_STATES["exhausted"]
         case _:
             state = None
     return {} if state is None else {item.content.id: state for item in attempt.items}
@@ -195,7 +197,7 @@
         case HttpStatus.TOO_MANY_REQUESTS | HttpStatus.SERVICE_UNAVAILABLE:
             meaning = StatusMeaning(Outcome.OVERLOADED)
         case HttpStatus.GATEWAY_TIMEOUT:
-            meaning = StatusMeaning(Outcome.NOT_SENT)
+            meaning = StatusMeaning(Outcome.NOT_SENT, attempts_exhausted=True)
         case HttpStatus.GONE:
             meaning = StatusMeaning(Outcome.NOT_SENT, message_ended=True)
         case HttpStatus.BAD_REQUEST | HttpStatus.CONTENT_TOO_LARGE if len(attempt.items) > 1:
--- a/tests/test_ended_messages.py
+++ b/tests/test_ended_messages.py
@@ -18,11 +18,27 @@
 import pytest
 
 from juniperward.forwarder import attempt_call, endpoint_connection
-from juniperward.forwarder.effects import StartAttempt, StartHealthCheck
+from juniperward.forwarder.effects import (
+    AppendRecord,
+    SendNotifications,
+    StartAttempt,
+    StartHealthCheck,
+    WithdrawFromBatch,
+)
 from juniperward.forwarder.endpoint_connection import MAX_LARGE_ANSWERS, READ_BYTES
-from juniperward.forwarder.events import AttemptAnswered, HealthCheckAnswered
-from juniperward.forwarder.model import AttemptProgress, BatchItem, ItemOutcome, Message
-from juniperward.forwarder.records import AttemptStartedRecord, CompletedRecord, JournalRecord
+from juniperward.forwarder.events import (
+    AttemptAnswered,
+    BatchItemWithdrawn,
+    EndpointsUpdated,
+    HealthCheckAnswered,
+)
+from juniperward.forwarder.model import AttemptProgress, BatchItem, ItemOutcome, Message, OutcomeNotification
+from juniperward.forwarder.records import (
+    AttemptStartedRecord,
+    CompletedRecord,
+    JournalRecord,
+    OutcomeDecidedRecord,
+)
 from juniperward.forwarder.send_gate import DEFAULT_RETRY_AFTER_S, RETRY_AFTER_MAX_AGE_S
 from juniperward.net import sockets
 from juniperward.net.http_errors import ConnectionClosedError, IncompleteMessageError
@@ -32,6 +48,7 @@
 from juniperward.net.stream import Stream
 from juniperward.scheduler.events import Outcome
 from tests.endpoint_client_rig import EndpointClientRig
+from tests.test_reducer import ReducerRig
 
 DELIVERED = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 GONE = b"HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n"
@@ -111,6 +128,16 @@
         for cut in range(GONE.index(b" Gone"), len(GONE)):
             assert [item.message_ended for item in self.call(GONE[:cut])] == [True], GONE[:cut]
 
+    def test_a_message_that_is_out_of_attempts_has_none_left_when_its_504_is_cut(self) -> None:
+        # Guards against further calls of a message that has had all its attempts, the rest of whose 504 was lost.
+        answer = b"HTTP/1.1 504 Gateway Timeout\r\nContent-Length: 0\r\n\r\n"
+        for cut in range(answer.index(b" Gateway"), len(answer)):
+            (item,) = self.call(answer[:cut])
+            assert (item.attempts_exhausted, item.message_ended) == (True, False), answer[:cut]
+        body = b'[{"id":"m0","state":"exhausted"},{"id":"m1","sta'
+        outcomes = self.call(b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n" + body, 2)
+        assert [item.attempts_exhausted for item in outcomes] == [True, False]
+
     def test_a_410_with_a_malformed_rest_ends_its_message(self, subtests: pytest.Subtests) -> None:
         # Guards against another call of an ended message, whose 410 breaks HTTP behind its status code.
         for rest in (
@@ -333,3 +360,36 @@
         with mock.patch("juniperward.net.sockets.connect", connect_and_wait):
             self.client.start(self.attempt(1, self.port))
             assert [item.outcome for item in self.outcomes()] == [Outcome.CONNECT_FAILED]
+
+
+class TestExhausted(ReducerRig):
+    def test_the_client_of_a_message_without_attempts_left_is_notified_at_once(self) -> None:
+        # Guards against further calls after a 504, and against a message without an end.
+        self.start()
+        (attempt,) = self.of_type(self.accept("a"), StartAttempt)
+        exhausted = ItemOutcome(attempt.items[0].message, Outcome.NOT_SENT, attempts_exhausted=True)
+        effects = self.reduce(AttemptAnswered(attempt.number, (exhausted,)))
+        assert self.of_type(effects, SendNotifications) == [SendNotifications((OutcomeNotification("a"),))]
+        assert AppendRecord(OutcomeDecidedRecord(OutcomeNotification("a"))) in effects
+        self.now += 10.0
+        assert self.attempted_ids(self.reduce(EndpointsUpdated(43, False, ()))) == []
+        assert self.reducer.scheduler.state.backlog.messages == {}
+
+
+class TestGivenUp(ReducerRig):
+    def test_a_message_is_withdrawn_from_its_attempt_before_its_end_is_told(self) -> None:
+        # Guards against a call that waits for a connection and is written after its message has ended.
+        self.start()
+        (attempt,) = self.of_type(self.accept("a", time_left_s=2.0), StartAttempt)
+        self.now += 1.75  # The timer of the attempt is late.
+        self.reducer._round.begin(self.now)
+        self.reducer._scheduling._give_up(attempt.items[0].message, None)
+        assert [type(effect) for effect in self.reducer.effects] == [
+            WithdrawFromBatch,
+            AppendRecord,
+            SendNotifications,
+        ]
+        message = attempt.items[0].message
+        effects = self.reduce(BatchItemWithdrawn(attempt.number, message, AttemptProgress.WAITING))
+        assert self.of_type(effects, SendNotifications) == []
+        assert self.reducer.state.attempts_in_flight == {}
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -58,7 +58,7 @@
             (single, 429, {"retry-after": "nan"}, b"", [ItemOutcome(0, Outcome.OVERLOADED)]),
             (single, 503, {}, b"", [ItemOutcome(0, Outcome.OVERLOADED)]),
             (single, 503, {"x-over-slots": "1"}, b"", [ItemOutcome(0, Outcome.NOT_SENT, no_slot_free=True)]),
-            (single, 504, {}, b"", [ItemOutcome(0, Outcome.NOT_SENT)]),
+            (single, 504, {}, b"", [ItemOutcome(0, Outcome.NOT_SENT, attempts_exhausted=True)]),
             (single, 410, {}, b"", [ItemOutcome(0, Outcome.NOT_SENT, message_ended=True)]),
             (single, 302, {}, b"", [ItemOutcome(0, Outcome.ERROR)]),
             (batch, 413, {}, b"", [ItemOutcome(0, Outcome.NOT_SENT), ItemOutcome(1, Outcome.NOT_SENT)]),
