Withdraw a message from its waiting call before its end is told

Found by reading, forced by a test of the reducer.

The message is withdrawn from the attempt before its end is told. The tests of dead letters look at the effects behind it.

--- a/juniperward/forwarder/reducer/scheduling.py
+++ b/juniperward/forwarder/reducer/scheduling.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from juniperward.forwarder.effects import SetTimer, WriteLog
+from juniperward.forwarder.effects import SetTimer, WithdrawFromBatch, WriteLog
 from juniperward.forwarder.events import SchedulerTimerFired
 from juniperward.forwarder.reducer.attempts import Attempts
 from juniperward.forwarder.reducer.completion import Completion
@@ -95,5 +95,7 @@
             return
         if pending.never_attempted:
             increment("restored_never_attempted")
+        if pending.attempt_number is not None:
+            self._round.emit(WithdrawFromBatch(pending.attempt_number, number))
         self._handlers.completion.remove(pending)
         self._handlers.completion.give_up(pending, retry_after_s)
--- a/tests/test_dead_letters.py
+++ b/tests/test_dead_letters.py
@@ -28,6 +28,7 @@
     SendControlReply,
     SendNotifications,
     StoreDeadLetter,
+    WithdrawFromBatch,
 )
 from juniperward.forwarder.events import (
     ControlRequested,
@@ -70,7 +71,14 @@
     def give_up(self, reducer: Reducer) -> list[Effect]:
         reducer._round.begin(110.0)
         reducer._scheduling._give_up(1, None)
-        return reducer.effects
+        return self.effects_after_withdrawal(reducer)
+
+    @staticmethod
+    def effects_after_withdrawal(reducer: Reducer) -> list[Effect]:
+        """Return the effects after the first one, which keeps a message in flight from being written any more."""
+        withdrawal, *effects = reducer.effects
+        assert isinstance(withdrawal, WithdrawFromBatch)
+        return effects
 
     def test_a_dead_letter_is_stored_before_its_outcome_is_journalled(self) -> None:
         reducer = self.reducer()
@@ -97,7 +105,10 @@
         self.accept(reducer)
         reducer._round.begin(110.0)
         reducer._scheduling._give_up(1, 0.5)
-        assert [type(effect) for effect in reducer.effects] == [AppendRecord, SendNotifications]
+        assert [type(effect) for effect in self.effects_after_withdrawal(reducer)] == [
+            AppendRecord,
+            SendNotifications,
+        ]
 
     def test_an_expired_message_is_stored_and_its_client_notified_not_to_retry(self) -> None:
         # Guards against a duplicate from the client's retry and the redrive.
@@ -105,7 +116,7 @@
         self.accept(reducer)
         reducer._round.begin(119.8)
         reducer._scheduling._give_up(1, 0.5)
-        store, decided, _ = reducer.effects
+        store, decided, _ = self.effects_after_withdrawal(reducer)
         assert isinstance(store, StoreDeadLetter)
         assert isinstance(decided, AppendRecord) and isinstance(decided.record, OutcomeDecidedRecord)
         assert decided.record.notification.retry_after_s is None
--- a/tests/test_ended_messages.py
+++ b/tests/test_ended_messages.py
@@ -381,10 +381,9 @@
         # Guards against a call that waits for a connection and is written after its message has ended.
         self.start()
         (attempt,) = self.of_type(self.accept("a", time_left_s=2.0), StartAttempt)
-        self.now += 1.75  # The timer of the attempt is late.
-        self.reducer._round.begin(self.now)
-        self.reducer._scheduling._give_up(attempt.items[0].message, None)
-        assert [type(effect) for effect in self.reducer.effects] == [
+        self.now += 1.75  # The timer of the attempt is late, but not that of the scheduler.
+        effects = self.reduce(EndpointsUpdated(43, False, ()))
+        assert [type(effect) for effect in effects[:3]] == [
             WithdrawFromBatch,
             AppendRecord,
             SendNotifications,
