Heed a Retry-After and the end of a message before the rest of their answer arrives

What endpoints saw: while an answer that had said its Retry-After hung, other calls of the route went out; and a message whose 410 had begun to arrive was called again after a kill within the half second in which its rest was awaited.

Before each wait for the rest of an answer, what has arrived is read: the route is paused, and the end of a message is journalled (a 410; a 504, unless it becomes a dead letter, which is stored first). A Retry-After that was heeded counts from then.

--- a/juniperward/forwarder/assembly.py
+++ b/juniperward/forwarder/assembly.py
@@ -39,6 +39,7 @@
     queue = EventQueue()
     executor = _build_executor(config, memory, journal, queue)
     executor.dead_letters = dead_letters
+    executor.endpoint_client.attempts.stores_dead_letters = dead_letters is not None
     return Loop(reducer, executor, queue)
 
 
--- a/juniperward/forwarder/attempt_call.py
+++ b/juniperward/forwarder/attempt_call.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import contextlib
+import functools
 import itertools
 import time
 from collections.abc import Callable
@@ -20,8 +21,13 @@
 from juniperward.forwarder.endpoint_connection import EarlyBytesError, EndpointConnection
 from juniperward.forwarder.endpoint_connections import EndpointConnections
 from juniperward.forwarder.endpoint_requests import encode_attempt
-from juniperward.forwarder.model import AttemptProgress, BatchItem, ItemOutcome
-from juniperward.forwarder.records import AttemptStartedRecord, CompletedRecord, JournalRecord
+from juniperward.forwarder.model import AttemptProgress, BatchItem, ItemOutcome, OutcomeNotification
+from juniperward.forwarder.records import (
+    AttemptStartedRecord,
+    CompletedRecord,
+    JournalRecord,
+    OutcomeDecidedRecord,
+)
 from juniperward.forwarder.send_gate import SendGate
 from juniperward.forwarder.stray_answers import report_stray_bytes
 from juniperward.forwarder.telemetry import increment, log
@@ -41,7 +47,12 @@
 
 
 class AttemptCalls:
-    """Makes attempts; safe to call from any thread."""
+    """Makes attempts; safe to call from any thread.
+
+    Attributes:
+        stores_dead_letters: Whether the loop stores messages that get no further attempt.
+        trace: Where answers are written, or None.
+    """
 
     def __init__(
         self,
@@ -52,6 +63,7 @@
         """Send only the attempts that `gate` allows; `append` writes to the journal and raises OSError."""
         self._connections, self._gate = connections, gate
         self.append = append
+        self.stores_dead_letters = False
         self.trace: Trace | None = None
 
     def run(self, call: ActiveCall, attempt: StartAttempt) -> tuple[ItemOutcome, ...]:
@@ -141,6 +153,7 @@
             return self._outcomes_of_failed_write(call, attempt, connection, error)
         with self._gate.lock:
             call.progress = AttemptProgress.WRITTEN
+        connection.on_incomplete = functools.partial(self._heed_incomplete, call, attempt, connection)
         try:
             answer = read_response(connection.stream, connection.set_answer_begun)
         except (IncompleteMessageError, MalformedMessageError, OSError) as error:
@@ -186,22 +199,38 @@
         outcomes = read_partial_outcomes(attempt, answer, without_answer, retry_after_s)
         return self._journal_ended(attempt, outcomes)
 
+    def _heed_incomplete(
+        self, call: ActiveCall, attempt: StartAttempt, connection: EndpointConnection
+    ) -> None:
+        """Heed what has arrived of an answer before the wait for its rest, during which the process may be killed."""
+        answer = self._connections.heed_incomplete(call, connection)
+        self._journal_ended(attempt, read_partial_outcomes(attempt, answer, Outcome.RESET))
+
     def _journal_ended(
         self, attempt: StartAttempt, outcomes: tuple[ItemOutcome, ...]
     ) -> tuple[ItemOutcome, ...]:
-        """Journal at once that messages are over, and return the outcomes.
+        """Journal at once that messages are over or out of attempts, and return the outcomes.
 
-        A process that is killed before the loop has handled them must not attempt these messages again. The outcome
-        of a redrive is written elsewhere first, by the loop.
+        A process that is killed before the loop has handled them must not attempt these messages again. Dead letters
+        and the outcomes of redrives are stored first, by the loop.
         """
         ids = {item.message: item.content.id for item in attempt.items}
         for outcome in outcomes:
-            message_id = ids[outcome.message]
-            if outcome.message_ended and not is_redrive_id(message_id):
+            record = self._final_record(ids[outcome.message], outcome)
+            if record is not None:
                 with contextlib.suppress(OSError):  # The loop writes it once more, and reports a failure.
-                    self.append(CompletedRecord(message_id))
+                    self.append(record)
         return outcomes
 
+    def _final_record(self, message_id: str, outcome: ItemOutcome) -> JournalRecord | None:
+        if is_redrive_id(message_id):
+            return None
+        if outcome.message_ended:
+            return CompletedRecord(message_id)
+        if outcome.attempts_exhausted and not self.stores_dead_letters:
+            return OutcomeDecidedRecord(OutcomeNotification(message_id))
+        return None
+
 
 def _with_items(attempt: StartAttempt, items: tuple[BatchItem, ...]) -> StartAttempt:
     """Return the attempt with these of its messages."""
--- a/juniperward/forwarder/endpoint_connection.py
+++ b/juniperward/forwarder/endpoint_connection.py
@@ -94,6 +94,9 @@
     Attributes:
         received: What was received so far, up to MAX_RECEIVED_BYTES.
         cancelled: Whether the call was given up; set by another thread, which also shuts the socket down.
+        on_incomplete: Is called before each wait for the rest of an answer that has begun.
+        retry_after_s: The Retry-After of an incomplete answer that was heeded, 0 if there was none.
+        paused_at: When that was, monotonic.
         transfer_deadline: When an answer that has begun must be complete, monotonic; None before it begins.
         answer_deadline: When an answer must be complete, whenever it begins, monotonic; None for no limit.
 
@@ -108,6 +111,8 @@
         self.stream = Stream(self._receive, READ_BYTES)
         self.received = bytearray()
         self.cancelled = False
+        self.on_incomplete: Callable[[], object] | None = None
+        self.retry_after_s = self.paused_at = 0.0
         self._has_permit = False
         self.transfer_deadline: float | None = None
         self.answer_deadline: float | None = None
@@ -151,6 +156,8 @@
 
     def _receive(self, size: int) -> bytes:
         """Return at most `size` bytes; raises TimeoutError or BlockingIOError at a time limit."""
+        if self.received and self.on_incomplete is not None:
+            self.on_incomplete()
         if len(self.received) >= READ_BYTES and not self._has_permit:
             with self._blocking:
                 self._limits.large_answers.begin(self._remaining_s(), lambda: self.cancelled)
--- a/juniperward/forwarder/endpoint_connections.py
+++ b/juniperward/forwarder/endpoint_connections.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import functools
 import socket
 import time
 
@@ -70,8 +71,21 @@
             )
             return None
         increment("connections_opened")
-        call.connection = EndpointConnection(sock, address, self._limits)
-        return call.connection
+        connection = call.connection = EndpointConnection(sock, address, self._limits)
+        connection.on_incomplete = functools.partial(self.heed_incomplete, call, connection)
+        return connection
+
+    def heed_incomplete(self, call: ActiveCall, connection: EndpointConnection) -> PartialResponse:
+        """Pause the route of a call for a Retry-After that has arrived ahead of the rest of its answer.
+
+        Return what has arrived.
+        """
+        answer = parse_partial_response(bytes(connection.received))
+        retry_after_s = read_partial_retry_after(answer)
+        if retry_after_s > connection.retry_after_s:
+            connection.retry_after_s, connection.paused_at = retry_after_s, time.monotonic()
+            self._pause_route(call, retry_after_s)
+        return answer
 
     def release(self, call: ActiveCall, connection: EndpointConnection, answer: HttpResponse) -> None:
         """Close the connection of an answered call, and pause its route for a Retry-After.
@@ -94,8 +108,8 @@
     ) -> tuple[PartialResponse, float]:
         """Close the connection of a call whose answer is not complete, and pause its route if it was rejected.
 
-        Return what the answer says, and the Retry-After that holds. If the header of a rejection may have been lost,
-        that is the latest one of the route.
+        Return what the answer says, and the Retry-After that still holds. If the header of a rejection may have been
+        lost, that is the latest one of the route.
         """
         answer = parse_partial_response(bytes(connection.received))
         self._finish(call)
@@ -105,6 +119,8 @@
             is_certain = answer.status == HttpStatus.TOO_MANY_REQUESTS
             assumed_s = self._gate.assumed_retry_after_s(route_of(call.effect), is_certain)
             retry_after_s = max(retry_after_s, assumed_s)
+        if connection.retry_after_s > 0:
+            retry_after_s = max(retry_after_s - (time.monotonic() - connection.paused_at), 0.0)
         self._pause_route(call, retry_after_s)
         return answer, retry_after_s
 
