Soak over real processes whose endpoints give every answer, whole and cut at any byte

The former soak had answers of 200, 503 and 500 only, so that it could not see an ended message that is called again. Endpoints now draw every row of the protocol's table for single messages and batches, cut at any byte and ended by a reset, an end or a hang; some messages are over or out of attempts at each of their calls; deadlines of 1 and 4 s; a quarter of the answers comes within 15 ms. Stray answers, crossings, signals in series, kills at the earliest and crowds stay.

The records have what an endpoint has said, from the offsets of the answer as it was built: nothing is parsed. The checker has a new rule: no attempt follows an answer that ended the message, unless the process was killed within the time of a crossing. juniperward measure stray-soak is now answer-soak.

--- a/juniperward/benchmarks/answer_soak.py
+++ b/juniperward/benchmarks/answer_soak.py
@@ -1,8 +1,9 @@
-"""Forwarders whose endpoints send stray answers, under signals, kills and crowds of clients, run by seed.
+"""Forwarders whose endpoints give every answer, whole or in part, under signals, kills and crowds, run by seed.
 
-`juniperward measure stray-soak` runs a number of seeds. A run draws the forms of the stray answers, the speed and the
-load of the endpoints, and the signals for one or two forwarders from its seed. One destination takes messages by key,
-the other one messages that may be sent once only. A run passes if no rule of the protocol was broken.
+`juniperward measure answer-soak` runs a number of seeds. A run draws the speed of the endpoints, how many answers
+break off, the forms of stray answers, the deadlines of messages, and the signals for one or two forwarders from its
+seed. One destination takes messages by key, the other one messages that may be sent once only; either may take
+batches. A run passes if no rule of the protocol was broken.
 """
 
 from __future__ import annotations
@@ -24,25 +25,26 @@
 from juniperward.benchmarks.memory_soak import problems_of, run_together, usual_records
 from juniperward.benchmarks.report import Report, Row
 from juniperward.benchmarks.signal_series import SignalSeries
+from juniperward.fakes.answering_endpoints import AnsweringDestination, AnsweringSpec, StrayForm
 from juniperward.fakes.checker import check
 from juniperward.fakes.clients import ClientOptions, Clients, Traffic
 from juniperward.fakes.discovery import FakeDiscovery
 from juniperward.fakes.hostile_clients import Form, hostile_clients
 from juniperward.fakes.load_balancer import LoadBalancer
 from juniperward.fakes.records import Recorder, now
-from juniperward.fakes.stray_endpoints import StrayDestination, StrayForm, StraySpec
 from juniperward.fakes.verdict import DEFAULT_BOUNDS, Verdict
 
 LIMITS = Limits(192, 1024)
 SLOTS = 24
 MAX_FORWARDERS = 2
 RUN_S = 10.0
-DEADLINE_S = 4.0
 RATE_PER_S = 30.0
 KEYED_CLASS, ONCE_CLASS = "booking-update", "gate-order"
 SERVICE_TIMES_S = ((0.001, 0.004), (0.02, 0.25), (0.02, 0.25), (1.0, 1.5))
 FRACTIONS = (0.02, 0.5, 1.0)
-REJECTED_FRACTIONS = (0.2, 0.2, 0.7)
+CUT_FRACTIONS = (0.0, 0.2, 0.5)
+DEADLINES_S = (1.0, 4.0, 4.0)
+KINDS = ("small-partners", "booking-sites")
 CROWD_PROBABILITY = 0.3
 CROWD_CONNECTIONS, CROWD_S = 400, 8.0
 # The load balancer learns this late that a forwarder ends, so that clients keep using their open connections.
@@ -53,23 +55,24 @@
 
 
 @dataclass
-class StrayResult:
+class AnswerResult:
     """What one run has shown.
 
     Attributes:
-        calls, connections, strays: What the endpoints of each destination have seen and sent.
+        calls, connections, strays, cut_answers: What the endpoints of each destination have seen and sent.
         lag_s: By how much this process itself was late at most; the checks allow for it.
         problems: What must not happen; empty if the run passed.
     """
 
     seed: int
-    specs: tuple[StraySpec, ...]
+    specs: tuple[AnsweringSpec, ...]
     forwarders: int
     crowd: bool
     verdict: Verdict
     calls: tuple[int, ...]
     connections: tuple[int, ...]
     strays: tuple[int, ...]
+    cut_answers: tuple[int, ...]
     lag_s: float
     problems: list[str] = field(default_factory=list)
 
@@ -87,21 +90,22 @@
         ]
 
     def _destinations(self) -> Any:
-        return zip(self.specs, self.calls, self.connections, self.strays, strict=True)
+        counts = (self.calls, self.connections, self.strays, self.cut_answers)
+        return zip(self.specs, *counts, strict=True)
 
 
-def _cell(spec: StraySpec, calls: int, connections: int, strays: int) -> str:
+def _cell(spec: AnsweringSpec, calls: int, connections: int, strays: int, cut_answers: int) -> str:
     fastest_s, slowest_s = spec.service_s
     return (
-        f"{spec.form} {spec.fraction:g}, {1000 * fastest_s:g} to {1000 * slowest_s:g} ms, 503 {spec.rejected:g}: "
-        f"{calls}, {connections}, {strays}"
+        f"{spec.kind}, {spec.form} {spec.fraction:g}, {1000 * fastest_s:g} to {1000 * slowest_s:g} ms, "
+        f"cut {spec.cut:g}: {calls}, {connections}, {strays}, {cut_answers}"
     )
 
 
 COLUMNS = [
     "seed",
     "forwarders",
-    "by key: calls, connections, strays",
+    "by key: calls, connections, strays, cut answers",
     "once: the same",
     "accepted",
     "delivered",
@@ -121,7 +125,7 @@
     return settings
 
 
-class _StrayRun:
+class _AnswerRun:
     """The forwarders, endpoints and clients of one seed."""
 
     def __init__(
@@ -138,6 +142,7 @@
             resources.callback(destination.close)
             discovery.publish(*destination.start())
         self._crowd = self._random.random() < CROWD_PROBABILITY
+        self._deadline_s = self._random.choice(DEADLINES_S)
         self._forwarders = []
         for number in range(self._random.randint(1, MAX_FORWARDERS)):
             name = f"n{number}"
@@ -148,18 +153,19 @@
             resources.callback(forwarder.close)
             self._forwarders.append(forwarder)
 
-    def _destination(self, number: int, forms: tuple[StrayForm, ...]) -> StrayDestination:
-        spec = StraySpec(
+    def _destination(self, number: int, forms: tuple[StrayForm, ...]) -> AnsweringDestination:
+        spec = AnsweringSpec(
             number,
             self._random.choice(forms),
             self._random.choice(FRACTIONS),
             self._random.choice(SERVICE_TIMES_S),
-            self._random.choice(REJECTED_FRACTIONS),
+            self._random.choice(CUT_FRACTIONS),
             deduplicates=number == 1,
+            kind=self._random.choice(KINDS),
         )
-        return StrayDestination(spec, self._recorder, self._seed * 10 + number)
+        return AnsweringDestination(spec, self._recorder, self._seed * 10 + number)
 
-    def run(self) -> StrayResult:
+    def run(self) -> AnswerResult:
         """Run all of it to its end and return the result."""
         for forwarder in self._forwarders:
             forwarder.start()
@@ -181,8 +187,8 @@
         signals = [SignalSeries(forwarder, self._random.getrandbits(32)) for forwarder in self._forwarders]
         run_together([lambda each=each: each.run(began_at) for each in signals])  # type: ignore[misc]
         for each in clients:
-            each.done.wait(RUN_S + 2 * DEADLINE_S)
-        time.sleep(DEADLINE_S + SETTLE_S)
+            each.done.wait(RUN_S + 2 * self._deadline_s)
+        time.sleep(self._deadline_s + SETTLE_S)
         return self._result(signals)
 
     def _start_clients(
@@ -192,7 +198,7 @@
             RATE_PER_S * len(self._forwarders),
             ((destination, 1.0),),
             message_class=message_class,
-            deadline_s=DEADLINE_S,
+            deadline_s=self._deadline_s,
             max_submissions=submissions,
         )
         options = ClientOptions(threads=16, id_prefix=f"c{destination}-")
@@ -200,14 +206,15 @@
         clients.start(RUN_S)
         return clients
 
-    def _result(self, signals: list[SignalSeries]) -> StrayResult:
+    def _result(self, signals: list[SignalSeries]) -> AnswerResult:
         lag_s = self._lag.longest_s
         bounds = replace(
             DEFAULT_BOUNDS,
             outcome_grace_s=DEFAULT_BOUNDS.outcome_grace_s + lag_s,
             crossing_s=DEFAULT_BOUNDS.crossing_s + lag_s,
+            retry_after_grace_s=DEFAULT_BOUNDS.retry_after_grace_s + lag_s,
         )
-        result = StrayResult(
+        result = AnswerResult(
             self._seed,
             tuple(destination.spec for destination in self._destinations),
             len(self._forwarders),
@@ -216,6 +223,7 @@
             tuple(destination.calls for destination in self._destinations),
             tuple(destination.connections for destination in self._destinations),
             tuple(destination.strays for destination in self._destinations),
+            tuple(destination.cut_answers for destination in self._destinations),
             lag_s,
         )
         for forwarder, sent in zip(self._forwarders, signals, strict=True):
@@ -225,23 +233,24 @@
         return result
 
 
-def run_seed(seed: int, forms: tuple[StrayForm, ...] = tuple(StrayForm)) -> StrayResult:
+def run_seed(seed: int, forms: tuple[StrayForm, ...] = tuple(StrayForm)) -> AnswerResult:
     """Run one seed, whose forms are drawn from `forms`, and return its result."""
     with (
         tempfile.TemporaryDirectory(prefix="jw-") as folder,
         contextlib.ExitStack() as resources,
     ):
-        return _StrayRun(seed, Path(folder), resources, forms).run()
+        return _AnswerRun(seed, Path(folder), resources, forms).run()
 
 
-def stray_soak(seed: int, out: Path, rounds: int = 50) -> bool:
-    """Run `rounds` seeds from `seed` on; write stray-soak.md to `out`. Returns whether all of them passed."""
-    command = f"juniperward measure stray-soak --seed {seed} --rounds {rounds}"
-    report = Report("Forwarders beside stray answers", command, seed)
+def answer_soak(seed: int, out: Path, rounds: int = 50) -> bool:
+    """Run `rounds` seeds from `seed` on; write answer-soak.md to `out`. Returns whether all of them passed."""
+    command = f"juniperward measure answer-soak --seed {seed} --rounds {rounds}"
+    report = Report("Forwarders beside every answer, whole and cut", command, seed)
     report.add_paragraph(
         f"Each run has one or two forwarders, {RATE_PER_S:g} messages a second for each destination and forwarder, a "
         "series of signals for each, and in some runs a crowd of silent clients. The endpoints of two destinations "
-        "send stray answers of a form beside a fraction of the calls on reused connections."
+        "give every answer of the protocol; a fraction of the answers breaks off at any byte, and stray answers are "
+        "sent beside a fraction of the calls on reused connections, if a forwarder reuses any."
     )
     with ProcessPoolExecutor(PARALLEL_RUNS, get_context("spawn")) as pool:
         results = list(pool.map(run_seed, range(seed, seed + rounds)))
@@ -250,5 +259,5 @@
     report.add_paragraph(
         f"{len(results) - len(failed)} of {len(results)} runs held; failed: {failed or 'none'}."
     )
-    report.write(out / "stray-soak.md")
+    report.write(out / "answer-soak.md")
     return not failed
--- a/juniperward/benchmarks/measurements.py
+++ b/juniperward/benchmarks/measurements.py
@@ -10,6 +10,7 @@
 
 from juniperward.benchmarks import (
     agreement,
+    answer_soak,
     capacity,
     chaos,
     cost,
@@ -23,7 +24,6 @@
     sizes,
     slow_start,
     starts,
-    stray_soak,
 )
 
 MEASUREMENTS: dict[str, Callable[..., bool]] = {
@@ -32,7 +32,7 @@
     "status": fleet_status.status,
     "flood": flood.flood,
     "memory-soak": memory_soak.memory_soak,
-    "stray-soak": stray_soak.stray_soak,
+    "answer-soak": answer_soak.answer_soak,
     "starts": starts.starts,
     "dead-letters": dead_letter_acceptance.acceptance,
     "dead-letter-cost": dead_letter_cost.storage_cost,
--- a/juniperward/fakes/answering_endpoints.py
+++ b/juniperward/fakes/answering_endpoints.py
@@ -1,13 +1,17 @@
-"""A fake destination whose endpoints also send what no call has caused, such as a second copy of an answer.
+"""A fake destination whose endpoints give every answer of the protocol, whole or in part, and stray answers.
 
-Each endpoint serves a connection's calls one after another, and decides at random before which call it sends a stray
-answer, and what it is. Calls take a random time; a part of the true answers are rejections and errors.
+The answers are drawn at random (`planned_answers.py`), and so is the byte behind which one breaks off. Some messages
+are over or out of attempts: each of their calls is answered so. An endpoint serves a connection's calls one after
+another, and also sends what no call has caused, such as a second copy of an answer.
 """
 
 from __future__ import annotations
 
+import json
 import random
 import select
+import socket
+import struct
 import threading
 import time
 import weakref
@@ -16,6 +20,19 @@
 
 from juniperward.fakes.discovery import ListedEndpoint
 from juniperward.fakes.http_server import Handler, HttpServer, ServerConnection
+from juniperward.fakes.planned_answers import (
+    BATCH_STATUS_KINDS,
+    SAME_FOR_ALL_PROBABILITY,
+    AnswerKind,
+    Ending,
+    PlannedAnswer,
+    draw_kind,
+    final_kind,
+    plan_answer,
+    plan_batch_answer,
+    plan_same_for_all,
+)
+from juniperward.fakes.record_index import UNANSWERED
 from juniperward.fakes.records import (
     AttemptAnswered,
     AttemptReceived,
@@ -70,44 +87,60 @@
 
 SINGLE_FORMS = tuple(form for form in StrayForm if form not in (StrayForm.NONE, StrayForm.MIXED))
 MAX_AFTER_S = 0.06
+# A part of the answers comes much sooner than the others.
+FAST_PROBABILITY = 0.25
+MAX_FAST_S = 0.015
 
 
 @dataclass(frozen=True, slots=True)
-class StraySpec:
-    """The properties of a destination with stray answers.
+class AnsweringSpec:
+    """The properties of a destination.
 
     Attributes:
         form: The form of its stray answers.
         fraction: The fraction of the calls on a reused connection that meet one.
         service_s: The shortest and the longest time of a call.
-        rejected, failed: The fractions of the calls that are answered 503 and never run, and 500.
+        cut: The fraction of the answers that break off at a random byte.
         deduplicates: Whether a second call of a message has no effect.
+        kind: The destination's kind in the settings, which decides whether it takes batches.
     """
 
     destination: int
     form: StrayForm
     fraction: float = 0.5
     service_s: tuple[float, float] = (0.02, 0.25)
-    rejected: float = 0.2
-    failed: float = 0.05
+    cut: float = 0.2
     deduplicates: bool = True
+    kind: str = "small-partners"
     endpoints: int = 4
 
 
-class StrayDestination:
+@dataclass(frozen=True, slots=True)
+class _CallPlan:
+    """How a call is answered: with the first `sent_bytes` of an answer, after `service_s`; or not at all."""
+
+    kind: AnswerKind
+    answer: PlannedAnswer | None
+    service_s: float
+    sent_bytes: int = 0
+    ending: Ending = Ending.END
+
+
+class AnsweringDestination:
     """A destination and its endpoints.
 
     Attributes:
         connections: How many connections the endpoints have served.
         calls: How many calls they have received.
         strays: How many stray answers they have sent.
+        cut_answers: How many answers broke off.
     """
 
-    def __init__(self, spec: StraySpec, recorder: Recorder, seed: int) -> None:
+    def __init__(self, spec: AnsweringSpec, recorder: Recorder, seed: int) -> None:
         """Draw random values from a seed; `recorder` receives the records of calls."""
         self.spec = spec
-        self.connections = self.calls = self.strays = 0
-        self._recorder, self._random = recorder, random.Random(seed)
+        self.connections = self.calls = self.strays = self.cut_answers = 0
+        self._recorder, self._seed, self._random = recorder, seed, random.Random(seed)
         self._lock = threading.Lock()
         self._answers: weakref.WeakKeyDictionary[ServerConnection, list[bytes]] = weakref.WeakKeyDictionary()
         self._planned: weakref.WeakKeyDictionary[ServerConnection, StrayForm] = weakref.WeakKeyDictionary()
@@ -124,7 +157,7 @@
                 f"s-{destination}-{number}",
                 listener.address,
                 destination,
-                "small-partners",
+                self.spec.kind,
                 LISTED_RATE_PER_S,
             )
             for number, listener in enumerate(self._listeners)
@@ -145,41 +178,99 @@
         """Serve a call, then wait for the first byte of the next one; return False to close the connection."""
         if request.method == "GET":  # A health check.
             return connection.write(encode_response(200, {}, b"", False))
-        message = request.headers["x-correlation-id"]
-        key = request.headers.get("idempotency-key", message)
+        messages = read_messages(request)
         number = self._recorder.next_attempt()
         self._recorder.add(
-            AttemptReceived(now(), number, endpoint, self.spec.destination, (message,), (key,), began_at)
+            AttemptReceived(
+                now(),
+                number,
+                endpoint,
+                self.spec.destination,
+                tuple(messages),
+                tuple(messages.values()),
+                began_at,
+            )
         )
         self._send_stray_behind_call(connection)
-        state, service_s = self._draw(message, key)
-        time.sleep(service_s)
-        status = {"ok": 200, "error": 500, "later": 503}[state]
-        answer = encode_response(status, {}, b"", False)
+        plan = self._plan_call(messages)
+        time.sleep(plan.service_s)
+        return self._answer(connection, number, plan)
+
+    def _answer(self, connection: ServerConnection, number: int, plan: _CallPlan) -> bool:
+        """Answer a call as planned; return False to close the connection."""
+        if plan.kind is AnswerKind.SILENT:
+            _wait_until_closed(connection)
+        if plan.answer is None:
+            self._recorder.add(AttemptUnanswered(now(), number))
+            return False
+        sent = plan.answer.data[: plan.sent_bytes]
         at = now()
-        if connection.closed_by_peer() or not connection.write(answer):
+        if connection.closed_by_peer() or not connection.write(sent):
             self._recorder.add(AttemptUnanswered(now(), number))
             return False
-        self._recorder.add(AttemptAnswered(at, number, (state,)))
+        states = plan.answer.states_after(len(sent))
+        retry_after_s = plan.answer.retry_after(len(sent))
+        if retry_after_s > 0 or any(state != UNANSWERED for state in states):
+            self._recorder.add(AttemptAnswered(at, number, states, retry_after_s))
+        else:
+            self._recorder.add(AttemptUnanswered(at, number))
+        if len(sent) < len(plan.answer.data):
+            _end(connection, plan.ending)
+            return False
         with self._lock:
-            self._answers.setdefault(connection, []).append(answer)
-        return self._wait_for_next_call(connection, answer)
+            self._answers.setdefault(connection, []).append(sent)
+        return self._wait_for_next_call(connection, sent)
 
-    def _draw(self, message: str, key: str) -> tuple[str, float]:
-        """Return the state of a call and its time, and record its effect."""
+    def _plan_call(self, messages: dict[str, str]) -> _CallPlan:
+        """Draw the answer to a call and its time, and record its effects."""
         with self._lock:
             self.calls += 1
-            repeat = self.spec.deduplicates and key in self._executed
-            chance, service_s = self._random.random(), self._random.uniform(*self.spec.service_s)
-            if not repeat and chance < self.spec.rejected:
-                return "later", service_s
-            executes = chance < 1 - self.spec.failed or self._random.random() < 0.5
-            if executes and not repeat:
-                self._executed.add(key)
-                self._recorder.add(Effect(now(), self.spec.destination, message, key))
-        if repeat:
-            return "ok", 0.0
-        return ("ok" if chance < 1 - self.spec.failed else "error"), service_s
+            kinds = {message: self._draw_kind(key) for message, key in messages.items()}
+            first = next(iter(kinds.values()))
+            service_s = self._random.uniform(*self.spec.service_s)
+            if self._random.random() < FAST_PROBABILITY:
+                service_s = self._random.uniform(0.0, MAX_FAST_S)
+            if len(kinds) > 1:
+                first, kinds = self._draw_batch(kinds)
+            for message, kind in kinds.items():
+                self._execute(message, messages[message], kind)
+            if first in (AnswerKind.SILENT, AnswerKind.DROPPED):
+                return _CallPlan(first, None, service_s)
+            if len(kinds) == 1:
+                answer = plan_answer(first, self._random)
+            elif first in BATCH_STATUS_KINDS:
+                answer = plan_same_for_all(first, len(kinds), self._random)
+            else:
+                answer = plan_batch_answer(tuple(kinds), tuple(kinds.values()), self._random)
+            if self._random.random() >= self.spec.cut:
+                return _CallPlan(first, answer, service_s, len(answer.data))
+            self.cut_answers += 1
+            sent_bytes = self._random.randrange(1, len(answer.data))
+            return _CallPlan(first, answer, service_s, sent_bytes, self._random.choice(list(Ending)))
+
+    def _draw_kind(self, key: str) -> AnswerKind:
+        if self.spec.deduplicates and key in self._executed:
+            return AnswerKind.DELIVERED
+        return final_kind(self._seed, key) or draw_kind(self._random)
+
+    def _draw_batch(self, kinds: dict[str, AnswerKind]) -> tuple[AnswerKind, dict[str, AnswerKind]]:
+        """Return the kind of a batch's answer, DELIVERED if it states how each message ended, and those of these."""
+        no_answer = (AnswerKind.SILENT, AnswerKind.DROPPED)
+        if self._random.random() < SAME_FOR_ALL_PROBABILITY:
+            kind = self._random.choice((*BATCH_STATUS_KINDS, *no_answer))
+            return kind, dict.fromkeys(kinds, kind)
+        stated = {
+            message: AnswerKind.REJECTED if kind in no_answer else kind for message, kind in kinds.items()
+        }
+        return AnswerKind.DELIVERED, stated
+
+    def _execute(self, message: str, key: str, kind: AnswerKind) -> None:
+        """Record that a message takes effect, if it does."""
+        may_execute = kind in (AnswerKind.ERROR, AnswerKind.SILENT, AnswerKind.DROPPED)
+        executes = kind is AnswerKind.DELIVERED or (may_execute and self._random.random() < 0.5)
+        if executes and not (self.spec.deduplicates and key in self._executed):
+            self._executed.add(key)
+            self._recorder.add(Effect(now(), self.spec.destination, message, key))
 
     def _wait_for_next_call(self, connection: ServerConnection, answer: bytes) -> bool:
         form, delay_s = self._draw_stray()
@@ -244,3 +335,27 @@
         with self._lock:
             self.strays += 1
         return connection.write(data)
+
+
+def read_messages(request: HttpRequest) -> dict[str, str]:
+    """Return the idempotency keys of a call's messages by their ids; a message without a key has its id."""
+    if request.path == "/receive-many":
+        return {row["id"]: row.get("key", row["id"]) for row in json.loads(request.body)}
+    message = request.headers["x-correlation-id"]
+    return {message: request.headers.get("idempotency-key", message)}
+
+
+def _wait_until_closed(connection: ServerConnection) -> None:
+    select.select([connection.socket], [], [], MAX_IDLE_S)
+
+
+def _end(connection: ServerConnection, ending: Ending) -> None:
+    """Prepare the end of a connection behind a part of an answer; the server closes it."""
+    match ending:
+        case Ending.RESET:
+            no_wait = struct.pack("ii", 1, 0)
+            connection.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, no_wait)
+        case Ending.HANG:
+            _wait_until_closed(connection)
+        case Ending.END:
+            pass
--- a/juniperward/fakes/record_index.py
+++ b/juniperward/fakes/record_index.py
@@ -90,11 +90,15 @@
     def delivered_at(self, message: str) -> float | None:
         """Return when a message was first answered as delivered, or None if it was not."""
         for attempt in self.attempts_of.get(message, ()):
-            if self._state(attempt, message) == "ok":
+            if self.state(attempt, message) == "ok":
                 return self.attempt_ends[attempt.attempt].at
         return None
 
-    def _state(self, attempt: AttemptReceived, message: str) -> str:
+    def has_state(self, message: str, state: str) -> bool:
+        """Return whether an endpoint has answered an attempt of a message with a state."""
+        return any(self.state(attempt, message) == state for attempt in self.attempts_of.get(message, ()))
+
+    def state(self, attempt: AttemptReceived, message: str) -> str:
         """Return the state of a message in the answer to an attempt, or UNANSWERED."""
         end = self.attempt_ends.get(attempt.attempt)
         index = attempt.ids.index(message)
--- a/juniperward/fakes/rules.py
+++ b/juniperward/fakes/rules.py
@@ -26,6 +26,9 @@
 # A restart up to this long before a message's first outcome may cause a second one.
 RESTART_LOOKBACK_S = 5.0
 RETRY_AFTER_TOLERANCE_S = 0.002
+GONE = "gone"
+# States after which a message must not be attempted again.
+FINAL_STATES = (GONE, "exhausted")
 
 
 def one_outcome(records: RecordIndex, bounds: Bounds) -> Iterator[Violation]:
@@ -48,6 +51,8 @@
         return _message_violation(records, Rule.ONE_OUTCOME, submitted.id, at, text)
 
     delivered_at = records.delivered_at(submitted.id)
+    if delivered_at is None and records.has_state(submitted.id, GONE):
+        return  # Nothing is owed, and a notification does no harm.
     if len({notification.status for notification in notifications}) > 1:
         yield violation(notifications[-1].at, "notified twice with different statuses")
     if delivered_at is not None:
@@ -91,6 +96,24 @@
             in_flight_until = max(in_flight_until, ended_at)
 
 
+def ended_messages(records: RecordIndex, bounds: Bounds) -> Iterator[Violation]:
+    """Check that a message is not attempted again after an endpoint said that it is over or out of attempts.
+
+    An answer that a forwarder's process had no time to journal before it was killed does not count.
+    """
+    for message, attempts in records.attempts_of.items():
+        ended_at: float | None = None
+        for attempt in attempts:
+            if ended_at is not None and attempt.began_at > ended_at:
+                text = f"attempted {attempt.began_at - ended_at:.3f} s after an answer that ended it"
+                yield _message_violation(records, Rule.ENDED_MESSAGES, message, attempt.at, text)
+                break
+            if records.state(attempt, message) in FINAL_STATES:
+                at = records.attempt_ends[attempt.attempt].at
+                killed = records.restarted(records.forwarder_of(attempt), at, at + bounds.crossing_s)
+                ended_at = None if killed else at
+
+
 def one_effect(records: RecordIndex, _bounds: Bounds) -> Iterator[Violation]:
     """Check that no message takes effect twice, as it can after the destination's deduplication window."""
     for effects in records.effects.values():
@@ -196,6 +219,7 @@
 RULES: tuple[Callable[[RecordIndex, Bounds], Iterator[Violation]], ...] = (
     one_outcome,
     one_in_flight,
+    ended_messages,
     one_effect,
     draining,
     retry_after,
--- a/juniperward/fakes/verdict.py
+++ b/juniperward/fakes/verdict.py
@@ -16,6 +16,7 @@
     Attributes:
         ONE_OUTCOME: An accepted message is either delivered or notified as undelivered, in time, and not both.
         ONE_IN_FLIGHT: No attempt of a message starts while another one is in flight.
+        ENDED_MESSAGES: No attempt of a message follows an answer that ended it (410, 504 and their batch states).
         ONE_EFFECT: No message takes effect twice.
         DRAINING: No new attempt goes to an endpoint that drains or is removed.
         RETRY_AFTER: No attempt goes to a destination within its Retry-After.
@@ -24,6 +25,7 @@
 
     ONE_OUTCOME = "one outcome"
     ONE_IN_FLIGHT = "one in flight"
+    ENDED_MESSAGES = "ended messages"
     ONE_EFFECT = "one effect"
     DRAINING = "draining"
     RETRY_AFTER = "retry after"
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -157,6 +157,38 @@
     def test_an_attempt_after_an_unanswered_one_is_no_concurrent_duplicate(self) -> None:
         assert check(valid_run()).retries == 2
 
+    def test_an_attempt_after_an_answer_that_ended_its_message_is_detected(self) -> None:
+        def with_state(state: str, *later: AnyRecord) -> list[AnyRecord]:
+            return [
+                *valid_run(),
+                Submitted(70.0, "z", "z", "kz", "c", "acme", 2, "n1", 70.0, 90.0),
+                SubmissionAnswered(70.01, "z", 202),
+                AttemptReceived(70.02, 96, "s-2-0", 2, ("z",), ("kz",), 70.02),
+                AttemptAnswered(70.03, 96, (state,)),
+                NotificationReceived(70.5, "z", "undeliverable", "n1"),
+                *later,
+            ]
+
+        again = AttemptReceived(70.2, 97, "s-2-0", 2, ("z",), ("kz",), 70.2)
+        kill = ProcessEvent(70.07, "n1", ProcessChange.KILL)
+        late_kill = ProcessEvent(70.09, "n1", ProcessChange.KILL)
+        start = ProcessEvent(70.1, "n1", ProcessChange.START)
+        for state in ("gone", "exhausted"):
+            assert check(with_state(state)).passed
+            # A notification of a message that is over does no harm, and none is owed.
+            gone_without_notification = [
+                record
+                for record in with_state(state)
+                if not isinstance(record, NotificationReceived) or record.id != "z"
+            ]
+            late = ProcessEvent(101.5, "n0", ProcessChange.START)
+            assert check([*gone_without_notification, late]).passed == (state == "gone")
+            self.assert_detected(Rule.ENDED_MESSAGES, "z", lambda _, s=state: with_state(s, again))  # type: ignore[misc]
+            # The process had no time to journal the answer before it was killed.
+            assert check(with_state(state, kill, start, again)).passed
+            assert not check(with_state(state, late_kill, start, again)).passed
+        assert check(with_state("later", again)).passed
+
     def test_a_second_effect_is_detected(self) -> None:
         self.assert_detected(Rule.ONE_EFFECT, "m0", lambda rs: [*rs, Effect(25.0, 1, "m0", "km0")])
 
