Test that answers unread at the end of a process are journalled

The path of the loop is forced: the report of a cancelled call that its thread posts after the last round is still reduced, and the end of its message journalled.

--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import threading
 from pathlib import Path
 from typing import cast
 from unittest import mock
@@ -89,6 +90,20 @@
         self.mocks.server.answer.assert_called_once_with(6, 503, mock.ANY)
         assert len(self.journal.live) == 0
 
+    def test_answers_that_are_unread_at_the_shutdown_are_journalled(self) -> None:
+        # Guards against another call by the next process of a message that its endpoint had ended.
+        self.submit()
+        (number,) = self.loop.reducer.state.attempts_in_flight
+        ended = AttemptAnswered(number, (ItemOutcome(1, Outcome.NOT_SENT, message_ended=True),))
+
+        def read_on_thread() -> None:
+            threading.Thread(target=self.loop.queue.post, args=(ended,)).start()
+
+        self.mocks.endpoint_client.cancel_written.side_effect = read_on_thread
+        self.loop.run(lambda: True)
+        assert len(self.journal.live) == 0
+        assert self.loop.reducer.state.attempts_in_flight == {}
+
     def test_shutdown_waits_for_connected_clients_until_its_deadline(self) -> None:
         reducer = self.loop.reducer
         reducer.reduce(0.0, [ShutdownRequested(0.8, 3.3)])
