Take reports of resting clients and act on them under one lock

What callers saw: 503 (too many connections) although a client had left, as epoll had told the thread of resting clients, which waited for the interpreter. The flag that said it was at work was set too late: between the return of epoll and the next instruction of that thread.

The thread now waits for the epoll object without taking anything from it. Reports are taken, and their connections passed on or closed, under one lock, so that whoever looks for free places finds a departed client either still reported or already closed. The flag is deleted.

--- a/juniperward/forwarder/resting_clients.py
+++ b/juniperward/forwarder/resting_clients.py
@@ -22,17 +22,13 @@
 # Connections of which input was reported and not looked at yet are at most so many.
 MAX_EVENTS = 16
 DISCARDED_AT_ONCE_BYTES = 65536
+MILLISECONDS_PER_S = 1000
 END_EVENTS = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 WATCHED_EVENTS = select.EPOLLIN | select.EPOLLRDHUP | select.EPOLLONESHOT
 
 
 class RestingClients:
-    """Connections without a thread; `add` may be called from any thread.
-
-    Attributes:
-        is_in_progress: Whether connections are just being looked at, of which some may be closed.
-
-    """
+    """Connections without a thread; `add` may be called from any thread."""
 
     def __init__(
         self,
@@ -47,13 +43,17 @@
         """
         self._serve, self._close, self._check = serve, close, check
         self._epoll = select.epoll()
+        # Becomes ready with the epoll object, whose reports stay there until they are taken.
+        self._ready = select.poll()
+        self._ready.register(self._epoll.fileno(), select.POLLIN)
+        # Held from taking reports until their connections are passed on or closed.
+        self._taking = threading.Lock()
         self._lock = threading.Lock()
         # By descriptor; those that linger are in both tables.
         self._clients: dict[int, ClientConnection] = {}
         self._lingering: dict[int, ClientConnection] = {}
         self._discarded = bytearray(DISCARDED_AT_ONCE_BYTES)
         self._thread: threading.Thread | None = None
-        self.is_in_progress = False
 
     @property
     def count(self) -> int:
@@ -125,30 +125,28 @@
         is_running = True
         while is_running:
             try:
-                reported = self._epoll.poll(max(check_at - time.monotonic(), 0.0), MAX_EVENTS)
-                self.is_in_progress = bool(reported)
-                self._take(reported)
-                self.is_in_progress = False
+                if self._ready.poll(max(check_at - time.monotonic(), 0.0) * MILLISECONDS_PER_S):
+                    self.take_ready()
                 now = time.monotonic()
                 if now >= check_at:
                     check_at = now + CHECK_INTERVAL_S
                     self._end_expired(now)
                     is_running = self._check(now)
             except Exception as error:
-                self.is_in_progress = False
                 report_fault("resting_clients", error)
                 time.sleep(CHECK_INTERVAL_S)
         self._epoll.close()
 
     def take_ready(self) -> None:
-        """Pass on or close the connections that have input, without waiting; any thread may call it."""
-        self._take(self._epoll.poll(0.0, MAX_EVENTS))
+        """Pass on or close the connections that have input, without waiting for more; any thread may call it.
 
-    def _take(self, reported: list[tuple[int, int]]) -> None:
-        for descriptor, events in reported:
-            client = self._remove(descriptor)
-            if client is not None:
-                self._take_client(client, events)
+        Those that another thread has begun to take are passed on or closed, too, when it returns.
+        """
+        with self._taking:
+            for descriptor, events in self._epoll.poll(0.0, MAX_EVENTS):
+                client = self._remove(descriptor)
+                if client is not None:
+                    self._take_client(client, events)
 
     def _take_client(self, client: ClientConnection, events: int) -> None:
         if client.lingers:
--- a/juniperward/forwarder/server.py
+++ b/juniperward/forwarder/server.py
@@ -248,8 +248,6 @@
         self.resting.take_ready()
         if not self.table.is_full:
             return Capacity.EVICT
-        if self.resting.is_in_progress:
-            return Capacity.FREED
         if self.resting.close_oldest_lingering() or self.incomplete.free_capacity(time.monotonic()):
             return Capacity.FREED
         return Capacity.NONE if self.incomplete.has_queued else Capacity.EVICT
