Watch resting clients level-triggered, without a poll of the epoll object

The thread of resting clients waited for its epoll object with poll(), which is one more kind of wait than the program had. Reports are level-triggered now: a blocking poll takes nothing away, and whoever takes a report unregisters its connection under the lock.

--- a/juniperward/forwarder/client_connection.py
+++ b/juniperward/forwarder/client_connection.py
@@ -70,7 +70,6 @@
         given_up: Whether the request that is being read is rejected, to free its memory and its thread.
         stream: What is read from the connection; None before its first request and after its last one. It refers to
             the connection, so that it is removed at the end: the memory of both is then free at once.
-        is_watched: Whether the connection is registered with the thread that waits for resting ones.
         is_readable: Whether that thread has seen input that nobody has read.
         readable_at: When it has seen that input (monotonic seconds).
         unparsed: What was read of a request before its parsing began.
@@ -98,7 +97,6 @@
         self.evicted = False
         self.given_up = False
         self.stream: Stream | None = None
-        self.is_watched = False
         self.is_readable = False
         self.readable_at = 0.0
         self.unparsed = b""
--- a/juniperward/forwarder/resting_clients.py
+++ b/juniperward/forwarder/resting_clients.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import select
 import socket
 import threading
@@ -22,9 +23,9 @@
 # Connections of which input was reported and not looked at yet are at most so many.
 MAX_EVENTS = 16
 DISCARDED_AT_ONCE_BYTES = 65536
-MILLISECONDS_PER_S = 1000
 END_EVENTS = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
-WATCHED_EVENTS = select.EPOLLIN | select.EPOLLRDHUP | select.EPOLLONESHOT
+# Level-triggered: a report stays until its connection is unregistered, so that a poll takes nothing away.
+WATCHED_EVENTS = select.EPOLLIN | select.EPOLLRDHUP
 
 
 class RestingClients:
@@ -43,9 +44,6 @@
         """
         self._serve, self._close, self._check = serve, close, check
         self._epoll = select.epoll()
-        # Becomes ready with the epoll object, whose reports stay there until they are taken.
-        self._ready = select.poll()
-        self._ready.register(self._epoll.fileno(), select.POLLIN)
         # Held from taking reports until their connections are passed on or closed.
         self._taking = threading.Lock()
         self._lock = threading.Lock()
@@ -69,7 +67,7 @@
         record_peak("resting_clients", resting)
         try:
             self._ensure_thread()
-            self._watch(descriptor, client)
+            self._watch(descriptor)
         except (OSError, ValueError, RuntimeError) as error:
             # If it does not rest any more, it was closed meanwhile, at the end of its time.
             if self._remove(descriptor) is client:
@@ -81,15 +79,9 @@
                 if self._clients.get(descriptor) is client:
                     self._lingering.setdefault(descriptor, client)
 
-    def _watch(self, descriptor: int, client: ClientConnection) -> None:
-        """Have the next input reported; a report may still come for a former connection with the descriptor."""
+    def _watch(self, descriptor: int) -> None:
+        """Have input reported; a report may still come for a former connection with the descriptor."""
         try:
-            if client.is_watched:
-                self._epoll.modify(descriptor, WATCHED_EVENTS)
-            else:
-                client.is_watched = True
-                self._epoll.register(descriptor, WATCHED_EVENTS)
-        except FileNotFoundError:
             self._epoll.register(descriptor, WATCHED_EVENTS)
         except FileExistsError:
             self._epoll.modify(descriptor, WATCHED_EVENTS)
@@ -125,7 +117,7 @@
         is_running = True
         while is_running:
             try:
-                if self._ready.poll(max(check_at - time.monotonic(), 0.0) * MILLISECONDS_PER_S):
+                if self._epoll.poll(max(check_at - time.monotonic(), 0.0), 1):
                     self.take_ready()
                 now = time.monotonic()
                 if now >= check_at:
@@ -144,6 +136,8 @@
         """
         with self._taking:
             for descriptor, events in self._epoll.poll(0.0, MAX_EVENTS):
+                with contextlib.suppress(OSError):  # It was closed meanwhile.
+                    self._epoll.unregister(descriptor)
                 client = self._remove(descriptor)
                 if client is not None:
                     self._take_client(client, events)
