Open connections ahead of calls where they come up late, each for one call

Where a connection of an endpoint took over 50 ms, connections to it are opened ahead for 10 s: as many as calls were made in 0.3 s and one more, on one thread without blocking, within one share of the descriptors. Each carries one call, and what its endpoint has sent on it before is no answer. Elsewhere nothing is opened ahead. tests/test_spare_connections.py.

--- a/juniperward/forwarder/assembly.py
+++ b/juniperward/forwarder/assembly.py
@@ -77,7 +77,9 @@
     )
     client_limits = EndpointClientLimits(
         settings.dial_timeout_s,
+        settings.keepalive_s,
         connection_limits.calls,
+        connection_limits.spare_endpoint_connections,
         read_timeout_s=max(message_class.deadline_s for message_class in settings.classes),
         max_large_answers=memory.large_answers,
     )
@@ -94,3 +96,4 @@
     set_limit("request_bytes", memory.request_bytes)
     set_limit("message_bytes", memory.message_bytes)
     set_limit("calls", connections.calls)
+    set_limit("spare_connections", connections.spare_endpoint_connections)
--- a/juniperward/forwarder/attempt_call.py
+++ b/juniperward/forwarder/attempt_call.py
@@ -68,7 +68,7 @@
 
     def run(self, call: ActiveCall, attempt: StartAttempt) -> tuple[ItemOutcome, ...]:
         """Make an attempt and return the outcome of each of its messages."""
-        connection = self._connections.dial(call)
+        connection = self._connections.connect(call)
         if connection is None:
             return same_outcomes(attempt, Outcome.CONNECT_FAILED, written=False)
         journalled = self._journal_starts(attempt, self._sendable(call, attempt, attempt.items))
--- a/juniperward/forwarder/endpoint_client.py
+++ b/juniperward/forwarder/endpoint_client.py
@@ -30,6 +30,7 @@
 from juniperward.forwarder.model import AttemptProgress, RouteKey
 from juniperward.forwarder.records import JournalRecord
 from juniperward.forwarder.send_gate import SendGate
+from juniperward.forwarder.spare_connections import SpareConnections
 from juniperward.forwarder.telemetry import record_peak, report_fault
 from juniperward.scheduler.events import Outcome
 
@@ -39,13 +40,17 @@
     """The limits of an endpoint client.
 
     Attributes:
+        keepalive_s: the time after which endpoints close connections without a call.
+        max_spare_connections: how many connections may be opened ahead of calls, to all endpoints together.
         read_timeout_s: the longest time to wait for an answer; at least MIN_READ_TIMEOUT_S is used.
         max_large_answers: how many long answers may be received at the same time.
 
     """
 
     dial_timeout_s: float
+    keepalive_s: float
     max_threads: int
+    max_spare_connections: int
     read_timeout_s: float = MIN_READ_TIMEOUT_S
     max_large_answers: int = MAX_LARGE_ANSWERS
 
@@ -74,7 +79,10 @@
         answer_limits = AnswerLimits(
             max(limits.read_timeout_s, MIN_READ_TIMEOUT_S), LargeAnswers(limits.max_large_answers), blocking
         )
-        self.connections = EndpointConnections(self.gate, limits.dial_timeout_s, answer_limits)
+        self.spares = SpareConnections(
+            limits.max_spare_connections, limits.dial_timeout_s, limits.keepalive_s
+        )
+        self.connections = EndpointConnections(self.gate, self.spares, limits.dial_timeout_s, answer_limits)
         self.attempts = AttemptCalls(self.connections, self.gate, append)
         self.health_checks = HealthCheckCalls(self.connections, self.gate)
         self.max_threads = limits.max_threads
@@ -148,9 +156,12 @@
     def set_draining(self, endpoint: int, draining: bool) -> None:
         """Block new calls to an endpoint that is draining or was removed, or allow them again."""
         self.gate.set_draining(endpoint, draining)
+        if draining:
+            self.spares.close(endpoint)
 
     def forget(self, endpoint: int) -> None:
         """Remove the state of a removed endpoint, which must have no call in flight."""
+        self.spares.close(endpoint)
         self.gate.set_draining(endpoint, False)
 
     def pause_route(self, route: RouteKey, until: float) -> None:
--- a/juniperward/forwarder/endpoint_connections.py
+++ b/juniperward/forwarder/endpoint_connections.py
@@ -1,4 +1,4 @@
-"""Opens a connection for each call to an endpoint, and closes it after the answer.
+"""Opens a connection for each call to an endpoint, or takes one opened ahead, and closes it after the answer.
 
 All that arrives on a connection is thus the answer to its one call. Used by the threads that make attempts
 (`attempt_call.py`) and health checks (`health_check_call.py`).
@@ -20,6 +20,7 @@
 )
 from juniperward.forwarder.model import AttemptProgress
 from juniperward.forwarder.send_gate import SendGate, route_of
+from juniperward.forwarder.spare_connections import SpareConnections
 from juniperward.forwarder.stray_answers import report_stray_bytes
 from juniperward.forwarder.telemetry import increment, log
 from juniperward.net import sockets
@@ -35,15 +36,35 @@
     """Opens and closes connections; safe to call from any thread."""
 
     def __init__(
-        self, gate: SendGate, dial_timeout_s: float, limits: AnswerLimits = DEFAULT_ANSWER_LIMITS
+        self,
+        gate: SendGate,
+        spares: SpareConnections,
+        dial_timeout_s: float,
+        limits: AnswerLimits = DEFAULT_ANSWER_LIMITS,
     ) -> None:
-        """Pause routes at `gate` for each Retry-After; `limits` are those of the reads of all connections."""
+        """Use `spares` before new connections, and pause routes at `gate` for each Retry-After.
+
+        `limits` are those of the reads of all connections.
+        """
+        self.spares = spares
         self._gate, self._limits, self._blocking = gate, limits, limits.blocking
         self.dial_timeout_s = dial_timeout_s
 
-    def dial(self, call: ActiveCall) -> EndpointConnection | None:
+    def connect(self, call: ActiveCall) -> EndpointConnection | None:
         """Return a connection for a call, None if it cannot be established; sets `call.sock` to its socket."""
         address = (call.effect.host, call.effect.port)
+        sock = self.spares.take(call.effect.endpoint, address)
+        if sock is None:
+            sock = self._dial(call, address)
+            if sock is None:
+                return None
+            increment("connections_opened")
+        call.sock = sock
+        connection = call.connection = EndpointConnection(sock, address, self._limits)
+        connection.on_incomplete = functools.partial(self.heed_incomplete, call, connection)
+        return connection
+
+    def _dial(self, call: ActiveCall, address: tuple[str, int]) -> socket.socket | None:
         try:
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         except OSError as error:
@@ -56,7 +77,7 @@
             if call.cancelled or remaining_s <= 0:
                 raise TimeoutError
             with self._blocking:
-                sockets.connect(*address, remaining_s, sock)
+                self._connect(call, sock, address, remaining_s)
             # Replace the timeout of this dial, which would also limit later writes on the connection.
             if remaining_s < self.dial_timeout_s:
                 sockets.set_timeout(sock, socket.SO_SNDTIMEO, self.dial_timeout_s)
@@ -70,10 +91,18 @@
                 error=error or "cancelled, or past its deadline",
             )
             return None
-        increment("connections_opened")
-        connection = call.connection = EndpointConnection(sock, address, self._limits)
-        connection.on_incomplete = functools.partial(self.heed_incomplete, call, connection)
-        return connection
+        return sock
+
+    def _connect(
+        self, call: ActiveCall, sock: socket.socket, address: tuple[str, int], timeout_s: float
+    ) -> None:
+        """Connect a socket, and record how long that took; raises OSError."""
+        began_at = time.monotonic()
+        try:
+            sockets.connect(*address, timeout_s, sock)
+        finally:
+            if not call.cancelled:
+                self.spares.record_dial(call.effect.endpoint, time.monotonic() - began_at)
 
     def heed_incomplete(self, call: ActiveCall, connection: EndpointConnection) -> PartialResponse:
         """Pause the route of a call for a Retry-After that has arrived ahead of the rest of its answer.
--- a/juniperward/forwarder/health_check_call.py
+++ b/juniperward/forwarder/health_check_call.py
@@ -35,7 +35,7 @@
     def run(self, call: ActiveCall, check: StartHealthCheck) -> HealthCheckAnswered:
         """Make a health check and return its result."""
         began = time.monotonic()
-        connection = self._connections.dial(call)
+        connection = self._connections.connect(call)
         if connection is None:
             return health_check_without_answer(check, Outcome.CONNECT_FAILED, began)
         with self._gate.lock:
--- a/juniperward/forwarder/memory_limits.py
+++ b/juniperward/forwarder/memory_limits.py
@@ -107,4 +107,5 @@
         clients=min(connections.clients, memory.clients),
         closing_clients=connections.closing_clients,
         calls=min(connections.calls, memory.calls),
+        spare_endpoint_connections=connections.spare_endpoint_connections,
     )
--- a/tests/endpoint_client_rig.py
+++ b/tests/endpoint_client_rig.py
@@ -12,7 +12,7 @@
 from juniperward.forwarder.events import Event
 from tests.resources import Resources
 
-LIMITS = EndpointClientLimits(1.0, max_threads=4)
+LIMITS = EndpointClientLimits(1.0, 10.0, max_threads=4, max_spare_connections=4)
 
 
 class EndpointClientRig:
--- a/tests/test_call_concurrency.py
+++ b/tests/test_call_concurrency.py
@@ -50,7 +50,7 @@
     @pytest.fixture(autouse=True)
     def set_up(self, resources: Resources) -> None:
         self.listen(resources)
-        limits = EndpointClientLimits(1.0, max_threads=2 * CALLS)
+        limits = EndpointClientLimits(1.0, 10.0, max_threads=2 * CALLS, max_spare_connections=CALLS)
         self.client = EndpointClient(limits, self.events.put, mock.Mock())
 
     def start_calls(self, first: int = 1) -> list[socket.socket]:
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -51,7 +51,12 @@
         for limit in range(MIN_SOCKETS, 4096):
             for slots in (1, 4, 1000):
                 limits = divide_descriptors(limit, slots)
-                uses = (limits.clients, limits.closing_clients, limits.calls)
+                uses = (
+                    limits.clients,
+                    limits.closing_clients,
+                    limits.calls,
+                    limits.spare_endpoint_connections,
+                )
                 assert sum(uses) + RESERVED_DESCRIPTORS <= limit, f"{limit}: {limits}"
                 assert min(uses) >= 1
 
@@ -59,7 +64,7 @@
         for limit in (256, 1024):
             limits = divide_descriptors(limit, 1000)
             assert (limits.clients, limits.closing_clients) == (limit // 2 - 16, 16)
-            assert limits.calls == 3 * limit // 8
+            assert (limits.calls, limits.spare_endpoint_connections) == (limit // 4, limit // 8)
         # Calls are limited to two for each slot and 8 spare ones.
         assert divide_descriptors(256, 4).calls == 16
 
--- a/tests/test_endpoint_faults.py
+++ b/tests/test_endpoint_faults.py
@@ -79,7 +79,7 @@
                 self.resources.callback(theirs.close)
                 connection = EndpointConnection(ours, ("127.0.0.1", self.port))
                 connection.stream = Stream(lambda _, c=connection: c._receive(1))  # type: ignore[misc]
-                with mock.patch.object(self.client.connections, "dial", return_value=connection):
+                with mock.patch.object(self.client.connections, "connect", return_value=connection):
                     self.client.start(self.health_check(number, 0.3))
                     theirs.recv(1000)
                 theirs.sendall(text)
