Split the fake of answering endpoints, and share the report of the soaks

Both soaks ran their seeds and wrote their reports alike; benchmarks/soak_report.py does it for both.

--- a/juniperward/benchmarks/answer_soak.py
+++ b/juniperward/benchmarks/answer_soak.py
@@ -13,9 +13,7 @@
 import random
 import tempfile
 import time
-from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, field, replace
-from multiprocessing import get_context
 from pathlib import Path
 from typing import Any
 
@@ -25,7 +23,9 @@
 from juniperward.benchmarks.memory_soak import problems_of, run_together, usual_records
 from juniperward.benchmarks.report import Report, Row
 from juniperward.benchmarks.signal_series import SignalSeries
-from juniperward.fakes.answering_endpoints import AnsweringDestination, AnsweringSpec, StrayForm
+from juniperward.benchmarks.soak_report import run_seeds
+from juniperward.fakes.answering_endpoints import AnsweringDestination
+from juniperward.fakes.answering_spec import AnsweringSpec, StrayForm
 from juniperward.fakes.checker import check
 from juniperward.fakes.clients import ClientOptions, Clients, Traffic
 from juniperward.fakes.discovery import FakeDiscovery
@@ -50,7 +50,6 @@
 # The load balancer learns this late that a forwarder ends, so that clients keep using their open connections.
 LOAD_BALANCER_POLL_S = 2.0
 SETTLE_S = 1.5
-PARALLEL_RUNS = 2
 MAX_REPORTED_VIOLATIONS = 3
 
 
@@ -252,12 +251,4 @@
         "give every answer of the protocol; a fraction of the answers breaks off at any byte, and stray answers are "
         "sent beside a fraction of the calls on reused connections, if a forwarder reuses any."
     )
-    with ProcessPoolExecutor(PARALLEL_RUNS, get_context("spawn")) as pool:
-        results = list(pool.map(run_seed, range(seed, seed + rounds)))
-    report.add_table(COLUMNS, [result.cells() for result in results])
-    failed = [result.seed for result in results if result.problems]
-    report.add_paragraph(
-        f"{len(results) - len(failed)} of {len(results)} runs held; failed: {failed or 'none'}."
-    )
-    report.write(out / "answer-soak.md")
-    return not failed
+    return run_seeds(run_seed, range(seed, seed + rounds), report, COLUMNS, out / "answer-soak.md")
--- a/juniperward/benchmarks/memory_soak.py
+++ b/juniperward/benchmarks/memory_soak.py
@@ -14,15 +14,14 @@
 import threading
 import time
 from collections.abc import Callable, Iterator
-from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, field, replace
-from multiprocessing import get_context
 from pathlib import Path
 
 from juniperward.benchmarks.lag_watch import LagWatch
 from juniperward.benchmarks.limited_forwarder import BYTES_PER_MB, LimitedForwarder, Limits
 from juniperward.benchmarks.report import Report, Row
 from juniperward.benchmarks.signal_series import SignalSeries
+from juniperward.benchmarks.soak_report import run_seeds
 from juniperward.fakes.checker import check
 from juniperward.fakes.clients import ClientOptions, Clients, Traffic
 from juniperward.fakes.destination_spec import DestinationSpec, FaultMode
@@ -45,7 +44,6 @@
 CROWD_PROBABILITY = 0.3
 CONNECTIONS_PER_PROCESS = 160
 SETTLE_S = 1.5
-PARALLEL_RUNS = 2
 MAX_REPORTED_VIOLATIONS = 3
 FAULT_MODES = (FaultMode.HEALTHY, FaultMode.UNRESPONSIVE, FaultMode.REJECTING, FaultMode.FAILING)
 FAULT_FRACTION = 0.5
@@ -230,12 +228,4 @@
         f"state folder together), {RATE_PER_S:g} usual messages a second each, and for {HOSTILE_S:g} s hostile "
         "clients in processes of their own, a fault of an endpoint, and signals."
     )
-    with ProcessPoolExecutor(PARALLEL_RUNS, get_context("spawn")) as pool:
-        results = list(pool.map(run_seed, range(seed, seed + rounds)))
-    report.add_table(COLUMNS, [result.cells() for result in results])
-    failed = [result.seed for result in results if result.problems]
-    report.add_paragraph(
-        f"{len(results) - len(failed)} of {len(results)} runs held; failed: {failed or 'none'}."
-    )
-    report.write(out / "memory-soak.md")
-    return not failed
+    return run_seeds(run_seed, range(seed, seed + rounds), report, COLUMNS, out / "memory-soak.md")
--- a/juniperward/fakes/answering_endpoints.py
+++ b/juniperward/fakes/answering_endpoints.py
@@ -15,17 +15,23 @@
 import threading
 import time
 import weakref
-from dataclasses import dataclass
-from enum import StrEnum
 
+from juniperward.fakes.answering_spec import (
+    FAST_PROBABILITY,
+    MAX_AFTER_S,
+    MAX_FAST_S,
+    SINGLE_FORMS,
+    AnsweringSpec,
+    StrayForm,
+)
 from juniperward.fakes.discovery import ListedEndpoint
 from juniperward.fakes.http_server import Handler, HttpServer, ServerConnection
 from juniperward.fakes.planned_answers import (
     BATCH_STATUS_KINDS,
     SAME_FOR_ALL_PROBABILITY,
     AnswerKind,
+    CallPlan,
     Ending,
-    PlannedAnswer,
     draw_kind,
     final_kind,
     plan_answer,
@@ -53,79 +59,6 @@
 READING_S = (0.0002, 0.001)
 
 
-class StrayForm(StrEnum):
-    """When a stray answer is sent, and what it is.
-
-    Attributes:
-        NONE: There is none.
-        AFTER: A copy of the latest answer, up to 60 ms behind it, if no byte of the next call has arrived.
-        FIRST_BYTE: A copy of the latest answer, at the first byte of the next call.
-        LAST_BYTE: The same, at its last byte.
-        BEHIND: The same, READING_S after its last byte.
-        OLDER: A copy of any earlier answer of the connection, at the first byte.
-        TWICE: Two copies of the latest answer, at the first byte.
-        SPLIT: A copy of the latest answer, half of it at the first byte and half behind the last.
-        NOISE: Bytes that are not HTTP, at the first byte.
-        INTERIM: An interim response, at the first byte.
-        TIMEOUT: A 408 and a close, at the first byte; the call is not read.
-        MIXED: One of the other forms, drawn for each stray answer.
-    """
-
-    NONE = "none"
-    AFTER = "after"
-    FIRST_BYTE = "first-byte"
-    LAST_BYTE = "last-byte"
-    BEHIND = "behind"
-    OLDER = "older"
-    TWICE = "twice"
-    SPLIT = "split"
-    NOISE = "noise"
-    INTERIM = "interim"
-    TIMEOUT = "timeout"
-    MIXED = "mixed"
-
-
-SINGLE_FORMS = tuple(form for form in StrayForm if form not in (StrayForm.NONE, StrayForm.MIXED))
-MAX_AFTER_S = 0.06
-# A part of the answers comes much sooner than the others.
-FAST_PROBABILITY = 0.25
-MAX_FAST_S = 0.015
-
-
-@dataclass(frozen=True, slots=True)
-class AnsweringSpec:
-    """The properties of a destination.
-
-    Attributes:
-        form: The form of its stray answers.
-        fraction: The fraction of the calls on a reused connection that meet one.
-        service_s: The shortest and the longest time of a call.
-        cut: The fraction of the answers that break off at a random byte.
-        deduplicates: Whether a second call of a message has no effect.
-        kind: The destination's kind in the settings, which decides whether it takes batches.
-    """
-
-    destination: int
-    form: StrayForm
-    fraction: float = 0.5
-    service_s: tuple[float, float] = (0.02, 0.25)
-    cut: float = 0.2
-    deduplicates: bool = True
-    kind: str = "small-partners"
-    endpoints: int = 4
-
-
-@dataclass(frozen=True, slots=True)
-class _CallPlan:
-    """How a call is answered: with the first `sent_bytes` of an answer, after `service_s`; or not at all."""
-
-    kind: AnswerKind
-    answer: PlannedAnswer | None
-    service_s: float
-    sent_bytes: int = 0
-    ending: Ending = Ending.END
-
-
 class AnsweringDestination:
     """A destination and its endpoints.
 
@@ -196,7 +129,7 @@
         time.sleep(plan.service_s)
         return self._answer(connection, number, plan)
 
-    def _answer(self, connection: ServerConnection, number: int, plan: _CallPlan) -> bool:
+    def _answer(self, connection: ServerConnection, number: int, plan: CallPlan) -> bool:
         """Answer a call as planned; return False to close the connection."""
         if plan.kind is AnswerKind.SILENT:
             _wait_until_closed(connection)
@@ -221,7 +154,7 @@
             self._answers.setdefault(connection, []).append(sent)
         return self._wait_for_next_call(connection, sent)
 
-    def _plan_call(self, messages: dict[str, str]) -> _CallPlan:
+    def _plan_call(self, messages: dict[str, str]) -> CallPlan:
         """Draw the answer to a call and its time, and record its effects."""
         with self._lock:
             self.calls += 1
@@ -235,7 +168,7 @@
             for message, kind in kinds.items():
                 self._execute(message, messages[message], kind)
             if first in (AnswerKind.SILENT, AnswerKind.DROPPED):
-                return _CallPlan(first, None, service_s)
+                return CallPlan(first, None, service_s)
             if len(kinds) == 1:
                 answer = plan_answer(first, self._random)
             elif first in BATCH_STATUS_KINDS:
@@ -243,10 +176,10 @@
             else:
                 answer = plan_batch_answer(tuple(kinds), tuple(kinds.values()), self._random)
             if self._random.random() >= self.spec.cut:
-                return _CallPlan(first, answer, service_s, len(answer.data))
+                return CallPlan(first, answer, service_s, len(answer.data))
             self.cut_answers += 1
             sent_bytes = self._random.randrange(1, len(answer.data))
-            return _CallPlan(first, answer, service_s, sent_bytes, self._random.choice(list(Ending)))
+            return CallPlan(first, answer, service_s, sent_bytes, self._random.choice(list(Ending)))
 
     def _draw_kind(self, key: str) -> AnswerKind:
         if self.spec.deduplicates and key in self._executed:
--- a/juniperward/fakes/planned_answers.py
+++ b/juniperward/fakes/planned_answers.py
@@ -107,6 +107,17 @@
         return self.retry_after_s if sent_bytes >= self.retry_after_from else 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class CallPlan:
+    """How a call is answered: with the first `sent_bytes` of an answer, after `service_s`; or not at all."""
+
+    kind: AnswerKind
+    answer: PlannedAnswer | None
+    service_s: float
+    sent_bytes: int = 0
+    ending: Ending = Ending.END
+
+
 def draw_kind(source: random.Random) -> AnswerKind:
     """Return a kind that does not end a message."""
     return source.choices(list(KIND_WEIGHTS), list(KIND_WEIGHTS.values()))[0]
