Checker: a notice that is not overdue at a kill has until 1.5 s after the restart

Forced with real processes, by two kills and messages that end around the second one: those whose time was up milliseconds before the kill are notified right after the restart, 0.68 and 0.69 s late by the checker.

The check was wrong: the protocol says that no notice is overdue from the SIGTERM or SIGKILL of a restart until 1.5 s after the forwarder is ready again, and at such a kill the notice had 300 ms left. The checker granted that only if the process was down when the message's time was up.

--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -120,6 +120,23 @@
         assert check([*records, NotificationReceived(62.5, "y", "undeliverable", "n1")]).passed
         assert not check([*records, NotificationReceived(63.0, "y", "undeliverable", "n1")]).passed
 
+    def test_an_outcome_that_is_not_overdue_at_a_kill_has_more_time(self) -> None:
+        # Guards against a check that is stricter than the protocol's rule on notices around a restart.
+        def passes(killed_at: float, notified_at: float) -> bool:
+            return check(
+                [
+                    *(r for r in valid_run() if not isinstance(r, NotificationReceived)),
+                    ProcessEvent(killed_at, "n1", ProcessChange.KILL),
+                    ProcessEvent(61.0, "n1", ProcessChange.START),
+                    NotificationReceived(notified_at, "y", "undeliverable", "n1"),
+                ]
+            ).passed
+
+        assert passes(60.01, 62.5)
+        assert passes(60.29, 62.5)
+        assert not passes(60.29, 63.0)
+        assert not passes(60.31, 60.9), "it was overdue before the kill"
+
     def test_a_second_outcome_is_detected(self) -> None:
         self.assert_detected(
             Rule.ONE_OUTCOME, "m1", lambda rs: [*rs, NotificationReceived(12.0, "m1", "undeliverable", "n1")]
